--- /dev/null
+++ b/benches/__init__.py
@@ -0,0 +1,1 @@
+"""Demo and benches: real processes on loopback."""
--- /dev/null
+++ b/src/marjoramvalve/admission/limits.py
@@ -0,0 +1,117 @@
+"""Concurrency limits of one upstream, driven by what its callers observed.
+
+Sources: Chiu and Jain (1989) for additive increase and multiplicative decrease; Brakmo and
+Peterson, "TCP Vegas" (1995), for the gradient of latency.
+"""
+
+import math
+from dataclasses import dataclass
+from typing import Protocol
+
+START_RATIO = 0.1
+SHED_RATIO = 0.02
+FAILED_RATIO = 0.5
+BUSY_RATIO = 0.8
+DECREASE = 0.9
+INCREASE_RATIO = 0.05
+RAMP_FACTOR = 2.0
+GRADIENT_TOLERANCE = 2.0
+GRADIENT_FLOOR = 0.5
+GRADIENT_SMOOTHING = 0.2
+BASELINE_GROWTH = 1.002
+
+
+@dataclass(frozen=True, slots=True)
+class Window:
+    """What callers observed at an upstream within one window. Latencies in milliseconds."""
+
+    done: int
+    latency_ms: float
+    latency_min_ms: float
+    shed: int
+    failed: int
+    in_use: int
+
+    @property
+    def total(self) -> int:
+        """Number of calls that ended in the window."""
+        return self.done + self.shed + self.failed
+
+
+class Limit(Protocol):
+    """A concurrency limit."""
+
+    value: int
+
+    def update(self, window: Window) -> None:
+        """Takes in one window."""
+
+
+class StaticLimit:
+    """The announced number of slots, whatever is observed."""
+
+    def __init__(self, slots: int) -> None:
+        self.value = slots
+
+    def update(self, window: Window) -> None:
+        """Ignores the window."""
+
+
+class AimdLimit:
+    """Grows while the upstream is busy and well; shrinks when it sheds or fails.
+
+    It starts low and doubles until the first sign of distress or the announced slots.
+    """
+
+    def __init__(self, slots: int) -> None:
+        self.slots = slots
+        self._exact = max(1.0, slots * START_RATIO)
+        self._ramping = True
+
+    @property
+    def value(self) -> int:
+        """The limit in slots."""
+        return max(1, int(self._exact))
+
+    def update(self, window: Window) -> None:
+        """Takes in one window."""
+        total = window.total
+        if total and (window.shed / total > SHED_RATIO or window.failed / total > FAILED_RATIO):
+            self._ramping = False
+            self._exact = max(1.0, self._exact * DECREASE)
+            return
+        if window.in_use < BUSY_RATIO * self.value:
+            return
+        step = self._exact if self._ramping else max(1.0, self._exact * INCREASE_RATIO)
+        self._exact = min(float(self.slots), self._exact + step)
+
+
+class GradientLimit:
+    """Follows the ratio of the undisturbed latency to the one observed."""
+
+    def __init__(self, slots: int) -> None:
+        self.slots = slots
+        self._exact = max(1.0, slots * START_RATIO)
+        self._baseline_ms = 0.0
+
+    @property
+    def value(self) -> int:
+        """The limit in slots."""
+        return max(1, int(self._exact))
+
+    def update(self, window: Window) -> None:
+        """Takes in one window."""
+        if window.shed:
+            self._exact = max(1.0, self._exact * DECREASE)
+        if not window.done:
+            return
+        if self._baseline_ms == 0.0 or window.latency_min_ms < self._baseline_ms:
+            self._baseline_ms = window.latency_min_ms
+        self._baseline_ms *= BASELINE_GROWTH
+        if window.in_use < BUSY_RATIO * self.value:
+            return
+        ratio = GRADIENT_TOLERANCE * self._baseline_ms / max(window.latency_ms, 1e-6)
+        gradient = min(1.0, max(GRADIENT_FLOOR, ratio))
+        target = self._exact * gradient + math.sqrt(self._exact)
+        smoothed = (1 - GRADIENT_SMOOTHING) * self._exact + GRADIENT_SMOOTHING * target
+        self._exact = min(float(self.slots), max(1.0, smoothed))
--- /dev/null
+++ b/src/marjoramvalve/admission/owners.py
@@ -0,0 +1,358 @@
+"""The owner of an upstream's slots: leases to calling instances, and the queue under shortage."""
+
+from dataclasses import dataclass, field
+
+from marjoramvalve.admission.limits import Limit, Window
+from marjoramvalve.admission.queues import FairQueue, Waiter
+from marjoramvalve.wire.messages import HeldReport, SlotAsk, SlotGrant, UpstreamInfo
+
+WINDOW_S = 0.1
+QUEUE_FACTOR = 4
+MIN_QUEUE = 16
+MIN_SESSIONS = 8
+LATENCY_SMOOTHING = 0.2
+CALL_IN_S = 0.05
+SLOT_SPACES = 1 << 20
+MIN_QUOTA = 2
+CONNECTIONS_PER_SLOT = 2
+
+
+@dataclass(slots=True)
+class _Session:
+    name: str
+    number: int
+    address: str
+    quota: int
+    expires: float
+    longest_s: float
+    slots: dict[int, int] = field(default_factory=dict)
+    granted: dict[int, int] = field(default_factory=dict)
+    seq: int = 0
+    ask_seq: int = 0
+    want: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class _Orphan:
+    slots: int
+    until: float
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """A grant and where it goes."""
+
+    name: str
+    address: str
+    grant: SlotGrant
+
+
+class SlotOwner:
+    """Owner of the slots of one upstream.
+
+    Invariant: slots in sessions, slots of orphans and those still withheld after a restart never
+    exceed the announced slots; quotas of sessions never exceed the announced connections. A
+    session that falls silent keeps its slots until its lease and the longest call under it have
+    run out, stretched by the margin for clock drift.
+    """
+
+    def __init__(
+        self,
+        info: UpstreamInfo,
+        owner: int,
+        limit: Limit,
+        lease_s: float,
+        drift: float,
+        others: tuple[str, ...],
+        longest_s: float,
+        now: float,
+    ) -> None:
+        self.info = info
+        self.owner = owner
+        self.limit = limit
+        self.draining = False
+        self.lease_s = lease_s
+        self._stretch = (1 + drift) / (1 - drift)
+        self._sessions: dict[tuple[str, int], _Session] = {}
+        self._orphans: list[_Orphan] = []
+        self._queue = FairQueue()
+        self._next_slot = ((owner % SLOT_SPACES) << 32) + 1
+        shares = max(MIN_SESSIONS, len(others) + 1)
+        self._quota = max(MIN_QUOTA, info.connections // shares)
+        self._unreported = set(others)
+        self._withhold_until = now + (lease_s + longest_s) * self._stretch
+        self._called_in_at = now
+        self._window_end = now + WINDOW_S
+        self._seen = Window(0, 0.0, 0.0, 0, 0, 0)
+        self._latency_sum = 0.0
+        self._peak = 0
+        self.latency_s = 0.0
+
+    @property
+    def _most_slots(self) -> int:
+        """Most slots of a session: each may come with a pooled and a one-shot connection."""
+        return self._quota // CONNECTIONS_PER_SLOT
+
+    # Accounting
+
+    def held(self) -> int:
+        """Returns the slots in sessions and of orphans."""
+        live = sum(len(session.slots) for session in self._sessions.values())
+        return live + sum(orphan.slots for orphan in self._orphans)
+
+    def withheld(self) -> int:
+        """Returns the slots that instances not heard since a restart may still use."""
+        return min(self.info.slots, len(self._unreported) * self._most_slots)
+
+    def free(self) -> int:
+        """Returns how many slots may be granted now."""
+        ceiling = min(self.limit.value, self.info.slots - self.withheld())
+        return ceiling - self.held()
+
+    def connections(self) -> int:
+        """Returns the connections promised to sessions."""
+        return sum(session.quota for session in self._sessions.values())
+
+    def waiting(self) -> int:
+        """Returns the number of waiting calls."""
+        return len(self._queue)
+
+    # Inputs
+
+    def report(self, name: str, body: HeldReport, now: float) -> None:
+        """Takes in what an instance still holds from before this owner's start."""
+        if name not in self._unreported:
+            return
+        self._unreported.discard(name)
+        if body.calls:
+            until = now + body.longest_s * self._stretch
+            self._orphans.append(_Orphan(body.calls, until))
+
+    def unreported(self) -> tuple[str, ...]:
+        """Returns the instances still to be asked."""
+        return tuple(sorted(self._unreported))
+
+    def gone(self, name: str) -> None:
+        """Notes that an instance has not existed for longer than any lease and call."""
+        self._unreported.discard(name)
+
+    def ask(self, name: str, address: str, body: SlotAsk, now: float) -> list[Reply]:
+        """Takes in an ask; returns the replies to send."""
+        self._expire(now)
+        session = self._session(name, address, body, now)
+        if session is None:
+            refused = tuple(wait.wait for wait in body.waits)
+            return [self._refusal(name, address, body, refused)]
+        if body.seq <= session.ask_seq:
+            return []
+        session.ask_seq = body.seq
+        self._renew(session, body, now)
+        refused = self._take_waits(session, body, now)
+        if not body.held and not body.want and not body.waits:
+            self._end(session)
+            return []
+        return self._serve(now, {(name, body.session): list(refused)})
+
+    def tick(self, now: float) -> list[Reply]:
+        """Advances time: expiry, windows, and grants that became possible."""
+        self._expire(now)
+        if now >= self._window_end:
+            self._close_window(now)
+        if now >= self._withhold_until:
+            self._unreported.clear()
+        return self._serve(now, {})
+
+    # Sessions
+
+    def _session(self, name: str, address: str, body: SlotAsk, now: float) -> _Session | None:
+        key = (name, body.session)
+        session = self._sessions.get(key)
+        if session is not None:
+            return session
+        if body.held or self.draining or body.owner not in (0, self.owner):
+            return None
+        if self.connections() + self._quota > self.info.connections:
+            return None
+        expires = now + self.lease_s * self._stretch
+        session = _Session(name, body.session, address, self._quota, expires, body.longest_s)
+        self._sessions[key] = session
+        return session
+
+    def _renew(self, session: _Session, body: SlotAsk, now: float) -> None:
+        session.expires = now + self.lease_s * self._stretch
+        session.longest_s = max(session.longest_s, body.longest_s)
+        session.want = body.want
+        held = set(body.held)
+        for slot, seq in list(session.slots.items()):
+            if seq <= body.seen and slot not in held:
+                del session.slots[slot]
+        for wait, seq in list(session.granted.items()):
+            if seq <= body.seen:
+                del session.granted[wait]
+        self._observe(body)
+
+    def _end(self, session: _Session) -> None:
+        key = (session.name, session.number)
+        self._queue.remove_origin(key)
+        if not session.slots:
+            del self._sessions[key]
+
+    def _expire(self, now: float) -> None:
+        self._orphans = [orphan for orphan in self._orphans if orphan.until > now]
+        for key, session in list(self._sessions.items()):
+            if session.expires > now:
+                continue
+            self._queue.remove_origin(key)
+            if session.expires + session.longest_s * self._stretch <= now or not session.slots:
+                del self._sessions[key]
+
+    # Waits
+
+    def _take_waits(self, session: _Session, body: SlotAsk, now: float) -> list[int]:
+        key = (session.name, session.number)
+        named = frozenset(wait.wait for wait in body.waits)
+        self._queue.remove_origin(key, named)
+        if self.draining:
+            return sorted(named)
+        for wait in body.waits:
+            if wait.wait in session.granted:
+                continue
+            deadline = now + wait.left_ms / 1000
+            self._queue.push(
+                Waiter(key, wait.wait, wait.rank, wait.customer, wait.weight, now, deadline)
+            )
+        return []
+
+    def _most_waiting(self) -> int:
+        return max(MIN_QUEUE, QUEUE_FACTOR * self.limit.value)
+
+    def _drop_hopeless(self, now: float) -> list[Waiter]:
+        return self._queue.drop_hopeless(lambda item: item.deadline < now + self.latency_s)
+
+    # Granting
+
+    def _serve(self, now: float, refused: dict[tuple[str, int], list[int]]) -> list[Reply]:
+        dropped = self._drop_hopeless(now)
+        grants: dict[tuple[str, int], list[tuple[int, int]]] = {key: [] for key in refused}
+        self._grant_waits(now, grants)
+        dropped += self._queue.drop_excess(self._most_waiting())
+        for waiter in dropped:
+            refused.setdefault(waiter.origin, []).append(waiter.wait)
+        self._grant_spares(grants)
+        self._peak = max(self._peak, self.held())
+        return [
+            self._reply(self._sessions[key], grants.get(key, []), refused.get(key, []), now)
+            for key in {**grants, **refused, **self._called_in(now)}
+            if key in self._sessions
+        ]
+
+    def _called_in(self, now: float) -> dict[tuple[str, int], None]:
+        """Returns the sessions to tell of a shortage, so that they give back idle slots."""
+        if not len(self._queue) or now < self._called_in_at + CALL_IN_S:
+            return {}
+        self._called_in_at = now
+        return {key: None for key, session in self._sessions.items() if session.slots}
+
+    def _grant_waits(self, now: float, grants: dict[tuple[str, int], list]) -> None:
+        blocked: list[Waiter] = []
+        while self.free() > 0:
+            waiter = self._queue.pop(now)
+            if waiter is None:
+                break
+            session = self._sessions[waiter.origin]
+            if len(session.slots) >= self._most_slots:
+                blocked.append(waiter)
+                continue
+            slot = self._take_slot(session)
+            session.granted[waiter.wait] = session.seq + 1
+            grants.setdefault(waiter.origin, []).append((slot, waiter.wait))
+        for waiter in blocked:
+            self._queue.push(waiter)
+
+    def _take_slot(self, session: _Session) -> int:
+        slot = self._next_slot
+        self._next_slot += 1
+        session.slots[slot] = session.seq + 1
+        return slot
+
+    def _grant_spares(self, grants: dict[tuple[str, int], list]) -> None:
+        if len(self._queue) or self.draining:
+            return
+        for key, grant in grants.items():
+            session = self._sessions.get(key)
+            if session is None:
+                continue
+            most = min(session.want, self._most_slots, self._fair_share())
+            while self.free() > 1 and len(session.slots) < most:
+                grant.append((self._take_slot(session), 0))
+
+    def _fair_share(self) -> int:
+        return max(1, self.limit.value // max(1, len(self._sessions)))
+
+    def _reply(
+        self, session: _Session, slots: list[tuple[int, int]], refused: list[int], now: float
+    ) -> Reply:
+        session.seq += 1
+        grant = SlotGrant(
+            upstream=self.info.name,
+            session=session.number,
+            seq=session.seq,
+            owner=self.owner,
+            ask_seq=session.ask_seq,
+            slots=tuple(slots),
+            refused=tuple(refused),
+            lease_s=self.lease_s,
+            limit=self.limit.value,
+            queue_ms=self._queue.oldest_delay(now) * 1000,
+            short=len(self._queue) > 0,
+            draining=self.draining,
+            connections=session.quota,
+        )
+        return Reply(session.name, session.address, grant)
+
+    def _refusal(self, name: str, address: str, body: SlotAsk, refused: tuple[int, ...]) -> Reply:
+        grant = SlotGrant(
+            upstream=self.info.name,
+            session=body.session,
+            seq=0,
+            owner=self.owner,
+            ask_seq=body.seq,
+            slots=(),
+            refused=refused,
+            lease_s=0.0,
+            limit=self.limit.value,
+            queue_ms=0.0,
+            short=True,
+            draining=self.draining,
+            connections=0,
+        )
+        return Reply(name, address, grant)
+
+    # Observation
+
+    def _observe(self, body: SlotAsk) -> None:
+        seen = self._seen
+        low = body.latency_min_ms
+        if body.done and seen.done:
+            low = min(low, seen.latency_min_ms)
+        elif not body.done:
+            low = seen.latency_min_ms
+        self._latency_sum += body.latency_ms * body.done
+        self._seen = Window(
+            seen.done + body.done, 0.0, low, seen.shed + body.shed, seen.failed + body.failed, 0
+        )
+
+    def _close_window(self, now: float) -> None:
+        seen = self._seen
+        mean = self._latency_sum / seen.done if seen.done else 0.0
+        window = Window(
+            seen.done, mean, seen.latency_min_ms, seen.shed, seen.failed, max(self._peak, 0)
+        )
+        self.limit.update(window)
+        if seen.done:
+            step = mean / 1000 - self.latency_s
+            self.latency_s += LATENCY_SMOOTHING * step
+        self._seen = Window(0, 0.0, 0.0, 0, 0, 0)
+        self._latency_sum = 0.0
+        self._peak = self.held()
+        self._window_end = now + WINDOW_S
--- /dev/null
+++ b/src/marjoramvalve/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/src/marjoramvalve/cli/__main__.py
@@ -0,0 +1,5 @@
+"""Runs `marjoramvalve` as a module."""
+
+from marjoramvalve.cli.main import main
+
+main()
--- /dev/null
+++ b/src/marjoramvalve/daemon/__main__.py
@@ -0,0 +1,5 @@
+"""Runs `marjoramvalved` as a module."""
+
+from marjoramvalve.daemon.main import main
+
+main()
--- /dev/null
+++ b/src/marjoramvalve/daemon/buckets.py
@@ -0,0 +1,116 @@
+"""Owners of customers' buckets at this instance."""
+
+from collections import OrderedDict
+
+from marjoramvalve.gateway import Context
+from marjoramvalve.membership import bucket_owner
+from marjoramvalve.rates import BucketOwners, Share
+from marjoramvalve.wire.messages import LotAnswer, LotRequest, TokenTransfer
+
+PULL_INTERVAL_S = 0.05
+PULL_BELOW = 0.5
+REMEMBERED_ANSWERS = 4096
+
+
+class BucketHost:
+    """Owns the buckets that the roster places here and evens them out between domains."""
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+        self._owners = BucketOwners(context.cfg.config_lease, context.cfg.clock_drift)
+        self._answered: OrderedDict[tuple[str, int], LotAnswer] = OrderedDict()
+        self._known: frozenset[str] = frozenset()
+        self._placement = -1
+        self._pulled_at = 0.0
+        self._nonce = context.incarnation
+
+    def sync(self) -> None:
+        """Takes over and gives up buckets as configuration and roster say.
+
+        A customer that is new in the configuration, while the placement stays as it was, has
+        spent nothing yet, and so its buckets start full.
+        """
+        view = self._context.view
+        now = self._context.clock()
+        same_placement = view.roster.placement_epoch == self._placement
+        domains = {item.domain for item in view.roster.members}
+        for name, customer in view.document.customers.items():
+            owner = bucket_owner(view.roster, name, self._context.cfg.domain)
+            if owner is None or owner.name != self._context.cfg.instance:
+                self._hand_on(name, owner, now)
+                continue
+            share = Share(customer.rate / len(domains), customer.burst / len(domains))
+            fresh = same_placement and name not in self._known
+            self._owners.keep(name, share, fresh, now)
+        for name in self._owners.customers():
+            if name not in view.document.customers:
+                self._owners.drop(name, now)
+        self._known = frozenset(view.document.customers)
+        self._placement = view.roster.placement_epoch
+
+    def _hand_on(self, customer: str, owner, now: float) -> None:
+        tokens = self._owners.drop(customer, now)
+        if tokens > 0 and owner is not None:
+            epoch = self._context.view.roster.placement_epoch
+            self._context.cast(owner.peer, TokenTransfer(customer, epoch, tokens))
+
+    def on_request(self, address: str, body: LotRequest) -> None:
+        """Answers a request; one that comes twice gets its first answer again."""
+        key = (address, body.nonce)
+        answer = self._answered.get(key)
+        if answer is None:
+            answer = self._answer(address, body)
+            self._answered[key] = answer
+            if len(self._answered) > REMEMBERED_ANSWERS:
+                self._answered.popitem(last=False)
+        self._context.cast(address, answer)
+
+    def _answer(self, address: str, body: LotRequest) -> LotAnswer:
+        epoch = self._context.view.roster.placement_epoch
+        if body.placement_epoch != epoch:
+            return LotAnswer(body.customer, body.nonce, 0.0, 0.0, False)
+        if self._context.cfg.stale_config == "refuse" and not self._context.is_current():
+            return LotAnswer(body.customer, body.nonce, 0.0, 0.0, False)
+        return self._owners.request(body, address, self._context.clock())
+
+    def on_transfer(self, body: TokenTransfer) -> None:
+        """Takes in tokens from the owner in another domain, or from an earlier owner."""
+        if body.placement_epoch == self._context.view.roster.placement_epoch:
+            self._owners.add(body.customer, body.tokens, self._context.clock())
+
+    def on_loan(self, body: LotAnswer) -> None:
+        """Takes in tokens that this owner asked another one for."""
+        self._owners.add(body.customer, body.granted, self._context.clock())
+
+    def tick(self) -> None:
+        """Moves tokens between domains: surplus out, and lack in."""
+        now = self._context.clock()
+        view = self._context.view
+        for push in self._owners.overflow(view.roster.placement_epoch, now):
+            self._context.cast(push.address, push.body)
+        if now < self._pulled_at + PULL_INTERVAL_S:
+            return
+        self._pulled_at = now
+        for customer in self._owners.customers():
+            self._pull(customer, now)
+
+    def _pull(self, customer: str, now: float) -> None:
+        view = self._context.view
+        deficit = self._owners.deficit(customer, now)
+        domains = {item.domain for item in view.roster.members}
+        item = view.document.customers.get(customer)
+        if item is None or deficit < max(1.0, PULL_BELOW * item.burst / len(domains)):
+            return
+        for domain in domains - {self._context.cfg.domain}:
+            owner = bucket_owner(view.roster, customer, domain)
+            self._nonce += 1
+            body = LotRequest(
+                customer,
+                view.roster.placement_epoch,
+                1.0,
+                deficit / len(domains),
+                self._nonce,
+                True,
+                deficit / len(domains),
+            )
+            self._context.cast(owner.peer, body)
--- /dev/null
+++ b/src/marjoramvalve/daemon/main.py
@@ -0,0 +1,61 @@
+"""Entry point of `marjoramvalved`."""
+
+import asyncio
+import os
+import signal
+import sys
+
+import fire
+import structlog
+import uvloop
+
+from marjoramvalve.daemon.nodes import Node
+from marjoramvalve.outcomes import Err
+from marjoramvalve.settings import Settings, check_settings, load_settings
+from marjoramvalve.telemetry import set_up_logs
+
+EXIT_SETTINGS = 2
+EXIT_START = 3
+
+log = structlog.get_logger("daemon")
+
+
+def settings_or_exit(flags: dict[str, object]) -> Settings:
+    """Returns checked settings; prints every fault and exits otherwise."""
+    loaded = load_settings(flags, os.environ)
+    faults = loaded.faults if isinstance(loaded, Err) else check_settings(loaded.value)
+    if faults:
+        for fault in faults:
+            print(fault, file=sys.stderr)
+        raise SystemExit(EXIT_SETTINGS)
+    return loaded.value
+
+
+async def run(cfg: Settings) -> int:
+    """Runs a node until it is told to stop; returns the exit status."""
+    node = Node(cfg)
+    failure = await node.start()
+    if failure is not None:
+        log.error(failure.event, detail=failure.detail, hint=failure.hint)
+        return EXIT_START
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signum, stopped.set)
+    await stopped.wait()
+    await node.stop()
+    await node.close()
+    return 0
+
+
+def serve(**flags: object) -> None:
+    """Runs the daemon; see docs/ref/settings.md for the flags."""
+    cfg = settings_or_exit(flags)
+    set_up_logs(cfg.log_level, cfg.instance)
+    status = uvloop.run(run(cfg))
+    raise SystemExit(status)
+
+
+def main() -> None:
+    """Runs `marjoramvalved`."""
+    fire.Fire(serve, name="marjoramvalved")
--- /dev/null
+++ b/src/marjoramvalve/daemon/slots.py
@@ -0,0 +1,104 @@
+"""Owners of the slots of the upstreams beside this instance."""
+
+from marjoramvalve.admission import AimdLimit, SlotOwner
+from marjoramvalve.gateway import Context
+from marjoramvalve.membership import LocalUpstreams, UpstreamStatus
+from marjoramvalve.wire.messages import HeldQuery, HeldReport, SlotAsk, SlotGrant
+
+QUERY_INTERVAL_S = 0.1
+
+
+class SlotHost:
+    """Runs one owner for each upstream that announced itself here."""
+
+    def __init__(self, context: Context, upstreams: LocalUpstreams) -> None:
+        self._context = context
+        self._upstreams = upstreams
+        self._owners: dict[str, SlotOwner] = {}
+        self._queried_at = 0.0
+
+    def owner(self, name: str) -> SlotOwner | None:
+        """Returns the owner of an upstream beside this instance."""
+        return self._owners.get(name)
+
+    def owners(self) -> tuple[SlotOwner, ...]:
+        """Returns every owner."""
+        return tuple(self._owners.values())
+
+    def sync(self) -> None:
+        """Starts, ends and drains owners as the upstreams beside this instance do."""
+        now = self._context.clock()
+        for item in self._upstreams.all():
+            owner = self._owners.get(item.info.name)
+            if owner is None or owner.info.incarnation != item.info.incarnation:
+                restarted = owner is not None
+                self._owners[item.info.name] = self._start(item.info, now, restarted)
+            self._owners[item.info.name].draining = item.status is not UpstreamStatus.UP
+        for name in self._owners.keys() - {item.info.name for item in self._upstreams.all()}:
+            del self._owners[name]
+
+    def _start(self, info, now: float, restarted: bool) -> SlotOwner:
+        cfg = self._context.cfg
+        view = self._context.view
+        others = () if restarted else tuple(item.name for item in view.roster.members)
+        routes = view.document.routes.values()
+        longest = max((route.deadline_ms for route in routes), default=0) / 1000
+        owner = int(self._context.wall() * 1000) % 2**40
+        return SlotOwner(
+            info,
+            owner,
+            AimdLimit(info.slots),
+            cfg.slot_lease,
+            cfg.clock_drift,
+            others,
+            longest,
+            now,
+        )
+
+    def set_roster(self) -> None:
+        """Notes which instances no longer exist."""
+        names = {item.name for item in self._context.view.roster.members}
+        for owner in self._owners.values():
+            for name in owner.unreported():
+                if name not in names:
+                    owner.gone(name)
+
+    def tick(self) -> None:
+        """Advances every owner."""
+        now = self._context.clock()
+        for name in self._upstreams.expire(now):
+            self._owners[name].draining = True
+        for owner in self._owners.values():
+            self._send(owner.tick(now))
+        if now >= self._queried_at + QUERY_INTERVAL_S:
+            self._queried_at = now
+            self._query()
+
+    def _query(self) -> None:
+        peers = {item.name: item.peer for item in self._context.view.roster.members}
+        for owner in self._owners.values():
+            for name in owner.unreported():
+                if name in peers:
+                    self._context.cast(peers[name], HeldQuery(owner.info.name, owner.owner))
+
+    def on_ask(self, src: str, address: str, body: SlotAsk) -> None:
+        """Takes in an ask of a calling instance."""
+        owner = self._owners.get(body.upstream)
+        if owner is None:
+            refused = tuple(wait.wait for wait in body.waits)
+            grant = SlotGrant(
+                body.upstream, body.session, 0, 0, body.seq, (), refused, 0.0, 0, 0.0, True, True, 0
+            )
+            self._context.cast(address, grant)
+            return
+        self._send(owner.ask(src, address, body, self._context.clock()))
+
+    def on_report(self, src: str, body: HeldReport) -> None:
+        """Takes in what an instance still holds."""
+        owner = self._owners.get(body.upstream)
+        if owner is not None and owner.owner == body.owner:
+            owner.report(src, body, self._context.clock())
+
+    def _send(self, replies) -> None:
+        for reply in replies:
+            self._context.cast(reply.address, reply.grant)
--- /dev/null
+++ b/src/marjoramvalve/gateway/headers.py
@@ -0,0 +1,127 @@
+"""Header names, and what may pass from callers to upstreams and back."""
+
+from urllib.parse import unquote, unquote_plus
+
+from multidict import CIMultiDict, CIMultiDictProxy
+
+KEY = "Marjoramvalve-Key"
+TOKEN = "Marjoramvalve-Token"
+DEADLINE = "Marjoramvalve-Deadline-Ms"
+PRIORITY = "Marjoramvalve-Priority"
+RUN = "Marjoramvalve-Run"
+REASON = "Marjoramvalve-Reason"
+REQUEST_ID = "Marjoramvalve-Request-Id"
+RETRIES_SPENT = "Marjoramvalve-Retries-Spent"
+REPLAYED = "Marjoramvalve-Replayed"
+IDEMPOTENCY_KEY = "Idempotency-Key"
+TRACEPARENT = "traceparent"
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+    }
+)
+OWN = frozenset(name.lower() for name in (KEY, TOKEN, DEADLINE, PRIORITY, RUN, REASON))
+NEVER_FORWARDED = HOP_BY_HOP | OWN | {"authorization", "content-length", "traceparent"}
+NEVER_RETURNED = HOP_BY_HOP | {RUN.lower(), REASON.lower(), TOKEN.lower(), KEY.lower()}
+BEARER = "bearer "
+
+
+def is_plain_path(raw_path: str) -> bool:
+    """Tells whether a path means the same to every reader: no dot segments, no empty ones.
+
+    An upstream that resolves them would otherwise serve another path than the route allows.
+    """
+    if not raw_path.startswith("/") or "//" in raw_path or "\\" in raw_path:
+        return False
+    if "." not in raw_path and "%" not in raw_path:
+        return True
+    decoded = unquote(raw_path)
+    if decoded.count("/") != raw_path.count("/") or "\\" in decoded or "%" in decoded:
+        return False
+    return not any(part in (".", "..") for part in decoded.split("/"))
+
+
+def caller_key(headers: CIMultiDictProxy[str]) -> str:
+    """Returns the caller's key from its header or from a bearer authorization, or ''."""
+    key = headers.get(KEY)
+    if key is not None:
+        return key.strip()
+    authorization = headers.get("Authorization", "")
+    if authorization[: len(BEARER)].lower() == BEARER:
+        return authorization[len(BEARER) :].strip()
+    return ""
+
+
+def _named_by_connection(headers: CIMultiDictProxy[str]) -> frozenset[str]:
+    values = headers.getall("Connection", ())
+    return frozenset(part.strip().lower() for value in values for part in value.split(","))
+
+
+def contains_key(text: str, key: str) -> bool:
+    """Tells whether a text holds the key, plain or percent-encoded, also twice over."""
+    for _ in range(3):
+        if key in text:
+            return True
+        decoded = unquote(text)
+        if key in unquote_plus(text):
+            return True
+        if decoded == text:
+            return False
+        text = decoded
+    return False
+
+
+def _without_key(cookie: str, key: str) -> str:
+    parts = [part for part in cookie.split(";") if not contains_key(part, key)]
+    return ";".join(parts).strip()
+
+
+def forwarded_headers(headers: CIMultiDictProxy[str], key: str) -> CIMultiDict[str]:
+    """Returns the request headers for an upstream: no hop-by-hop ones, and no key anywhere."""
+    dropped = NEVER_FORWARDED
+    if "Connection" in headers:
+        dropped = dropped | _named_by_connection(headers)
+    out: CIMultiDict[str] = CIMultiDict()
+    for name, value in headers.items():
+        lowered = name.lower()
+        if lowered in dropped:
+            continue
+        if key and (contains_key(value, key) or contains_key(name, key)):
+            if lowered != "cookie":
+                continue
+            value = _without_key(value, key)
+            if not value:
+                continue
+        out.add(name, value)
+    return out
+
+
+def forwarded_target(raw_path: str, key: str) -> str:
+    """Returns path and query for an upstream; query parts that hold the key are dropped."""
+    path, mark, query = raw_path.partition("?")
+    if not mark or not key or not contains_key(query, key):
+        return raw_path
+    parts = [part for part in query.split("&") if not contains_key(part, key)]
+    return f"{path}?{'&'.join(parts)}" if parts else path
+
+
+def returned_headers(headers: CIMultiDictProxy[str]) -> CIMultiDict[str]:
+    """Returns the answer headers for a caller."""
+    dropped = NEVER_RETURNED
+    if "Connection" in headers:
+        dropped = dropped | _named_by_connection(headers)
+    out: CIMultiDict[str] = CIMultiDict()
+    for name, value in headers.items():
+        if name.lower() not in dropped:
+            out.add(name, value)
+    return out
--- /dev/null
+++ b/src/marjoramvalve/gateway/slots.py
@@ -0,0 +1,301 @@
+"""Slots at upstreams for the calls of this instance: choice, leases and waiting."""
+
+import asyncio
+from dataclasses import dataclass
+
+import structlog
+
+from marjoramvalve.admission import SlotCaller, SlotDemand
+from marjoramvalve.gateway.contexts import Context
+from marjoramvalve.outcomes import Reason, Refusal, Run, refuse
+from marjoramvalve.retries import retry_after
+from marjoramvalve.routing import Candidate, OutlierBook, choose, subset
+from marjoramvalve.wire.messages import HeldQuery, HeldReport, SlotGrant, UpstreamInfo
+
+SILENT_OWNER_S = 0.25
+TICK_S = 0.05
+RENEW_PART = 0.25
+MAX_MOVES = 3
+
+log = structlog.get_logger("slots")
+
+
+@dataclass(slots=True)
+class _Target:
+    info: UpstreamInfo
+    peer: str
+    owner: str
+    domain: str
+    caller: SlotCaller
+    refused_until: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class SlotHeld:
+    """A slot at an upstream; it must be given back with `SlotClient.give_back`."""
+
+    slot: int
+    name: str
+    address: str
+    owner: str
+    generation: int
+
+
+class SlotClient:
+    """Holds the calling side of slot leases at every upstream in use."""
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+        self._targets: dict[str, _Target] = {}
+        self._by_service: dict[str, tuple[str, ...]] = {}
+        self._waits: dict[tuple[str, int], asyncio.Future] = {}
+        self._outliers = OutlierBook()
+        self._dirty: set[str] = set()
+        self._flush_planned = False
+        self._task: asyncio.Task | None = None
+        self._session = context.incarnation % 2**31
+
+    async def start(self) -> None:
+        """Starts renewals."""
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Stops renewals and gives every slot back."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    # Configuration
+
+    def set_roster(self) -> None:
+        """Takes the upstreams of the present roster."""
+        roster = self._context.view.roster
+        services: dict[str, list[str]] = {}
+        found = set()
+        for member in roster.members:
+            for info in member.upstreams:
+                found.add(info.name)
+                services.setdefault(info.service, []).append(info.name)
+                self._set_target(info, member.peer, member.name, member.domain)
+        for name in self._targets.keys() - found:
+            self._drop_target(name)
+        me = self._context.cfg.instance
+        self._by_service = {
+            service: subset(me, tuple(sorted(names))) for service, names in services.items()
+        }
+
+    def _set_target(self, info: UpstreamInfo, peer: str, owner: str, domain: str) -> None:
+        known = self._targets.get(info.name)
+        if known is not None and known.info.incarnation == info.incarnation:
+            known.info, known.peer, known.owner = info, peer, owner
+            return
+        if known is not None:
+            self._drop_target(info.name)
+        renew = self._context.cfg.slot_lease * RENEW_PART
+        self._session += 1
+        now = self._context.clock()
+        caller = SlotCaller(info.name, self._session, renew, now)
+        self._targets[info.name] = _Target(info, peer, owner, domain, caller)
+
+    def _drop_target(self, name: str) -> None:
+        self._targets.pop(name, None)
+        self._dirty.discard(name)
+        for key in [key for key in self._waits if key[0] == name]:
+            self._resolve(key, 0)
+
+    # Calls
+
+    def has_service(self, service: str) -> bool:
+        """Tells whether any upstream of a service is known."""
+        return bool(self._by_service.get(service))
+
+    async def acquire(
+        self, service: str, demand: SlotDemand, avoid: frozenset[str]
+    ) -> SlotHeld | Refusal:
+        """Returns a slot at an upstream of the service, or a refusal that is `not-run`."""
+        tried = avoid
+        for _ in range(MAX_MOVES):
+            target = self._choose(service, tried)
+            if target is None:
+                break
+            slot = target.caller.take(demand, self._context.clock())
+            if not slot:
+                slot = await self._wait(target, demand)
+            if slot:
+                return self._held(target, slot)
+            if self._context.clock() >= demand.deadline:
+                return refuse(Reason.DEADLINE, "deadline passed before a slot was free")
+            tried = tried | {target.info.name}
+        return self._refusal(service)
+
+    def _refusal(self, service: str) -> Refusal:
+        if not self.has_service(service):
+            detail = f"no upstream of service {service!r} is known"
+            delay = retry_after(1.0, self._context.rng)
+            return refuse(Reason.NO_UPSTREAM, detail, Run.NOT_RUN, delay)
+        detail = f"service {service!r} has no free slot for this call"
+        return refuse(Reason.OVERLOAD, detail, Run.NOT_RUN, retry_after(0.5, self._context.rng))
+
+    def _held(self, target: _Target, slot: int) -> SlotHeld:
+        info = target.info
+        return SlotHeld(slot, info.name, info.address, target.owner, info.incarnation)
+
+    def _choose(self, service: str, avoid: frozenset[str]) -> _Target | None:
+        now = self._context.clock()
+        names = [name for name in self._by_service.get(service, ()) if name not in avoid]
+        names = self._outliers.usable(names, now)
+        candidates = []
+        for name in names:
+            target = self._targets[name]
+            caller = target.caller
+            if caller.view.draining and now < caller.view.answered_at + 1:
+                continue
+            if caller.silent_for(now) > SILENT_OWNER_S or now < target.refused_until:
+                continue
+            local = target.domain == self._context.cfg.domain
+            candidates.append(Candidate(name, caller.load(), local))
+        chosen = choose(candidates, self._context.rng)
+        return self._targets[chosen.name] if chosen else None
+
+    async def _wait(self, target: _Target, demand: SlotDemand) -> int:
+        if len(self._waits) >= self._context.cfg.max_waiting:
+            return 0
+        wait = target.caller.wait(demand, self._context.clock())
+        key = (target.info.name, wait)
+        fut = asyncio.get_running_loop().create_future()
+        self._waits[key] = fut
+        self._mark(target)
+        handle = asyncio.get_running_loop().call_later(
+            SILENT_OWNER_S, self._check_silence, target, key
+        )
+        timer = asyncio.get_running_loop().call_later(
+            max(0.0, demand.deadline - self._context.clock()), self._resolve, key, 0
+        )
+        try:
+            return await fut
+        except asyncio.CancelledError:
+            if fut.done() and not fut.cancelled() and fut.result():
+                self._give_back_to(target, fut.result())
+            raise
+        finally:
+            handle.cancel()
+            timer.cancel()
+            self._waits.pop(key, None)
+            target.caller.cancel(wait)
+            self._mark(target)
+
+    def _check_silence(self, target: _Target, key: tuple[str, int]) -> None:
+        if target.caller.silent_for(self._context.clock()) >= SILENT_OWNER_S:
+            self._resolve(key, 0)
+
+    def _resolve(self, key: tuple[str, int], slot: int) -> bool:
+        fut = self._waits.get(key)
+        if fut is None or fut.done():
+            return False
+        fut.set_result(slot)
+        return True
+
+    def give_back(self, held: SlotHeld) -> None:
+        """Gives a slot back."""
+        target = self._targets.get(held.name)
+        if target is not None and target.info.incarnation == held.generation:
+            self._give_back_to(target, held.slot)
+
+    def _give_back_to(self, target: _Target, slot: int) -> None:
+        target.caller.give_back(slot, self._context.clock())
+        self._mark(target)
+
+    def observe(self, held: SlotHeld, latency_s: float, shed: bool, failed: bool) -> None:
+        """Notes how a call at an upstream ended."""
+        target = self._targets.get(held.name)
+        if target is not None:
+            target.caller.observe(latency_s, shed, failed)
+        if failed:
+            self._outliers.failed(held.name, self._context.clock())
+        elif not shed:
+            self._outliers.succeeded(held.name)
+
+    def suspects(self) -> tuple[str, ...]:
+        """Returns the instances whose owners leave asks without an answer."""
+        now = self._context.clock()
+        limit = self._context.cfg.suspect_after
+        silent = (item for item in self._targets.values() if item.caller.silent_for(now) > limit)
+        return tuple(sorted({item.owner for item in silent}))
+
+    # Messages
+
+    def _mark(self, target: _Target) -> None:
+        if not target.caller.dirty:
+            return
+        self._dirty.add(target.info.name)
+        if not self._flush_planned:
+            self._flush_planned = True
+            asyncio.get_running_loop().call_soon(self._flush)
+
+    def _flush(self) -> None:
+        self._flush_planned = False
+        dirty, self._dirty = self._dirty, set()
+        for name in dirty:
+            target = self._targets.get(name)
+            if target is not None and target.caller.dirty:
+                self._ask(target)
+
+    def _ask(self, target: _Target) -> None:
+        ask = target.caller.ask(self._context.clock(), self._longest_s())
+        self._context.cast(target.peer, ask)
+
+    def _longest_s(self) -> float:
+        routes = self._context.view.document.routes.values()
+        return max((route.deadline_ms for route in routes), default=0) / 1000
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = self._context.clock()
+            for target in list(self._targets.values()):
+                if target.caller.is_due(now):
+                    self._ask(target)
+
+    def on_grant(self, body: SlotGrant) -> None:
+        """Takes in a grant."""
+        target = self._targets.get(body.upstream)
+        if target is None:
+            return
+        now = self._context.clock()
+        if body.connections == 0:
+            target.refused_until = now + SILENT_OWNER_S
+        granted = target.caller.granted(body, now)
+        for slot, wait in granted.slots:
+            if not self._resolve((body.upstream, wait), slot):
+                target.caller.give_back(slot, now)
+        for wait in granted.refused:
+            self._resolve((body.upstream, wait), 0)
+        self._mark(target)
+
+    def on_held_query(self, body: HeldQuery) -> HeldReport:
+        """Answers a restarted owner."""
+        target = self._targets.get(body.upstream)
+        if target is None:
+            return HeldReport(body.upstream, body.owner, 0, 0.0)
+        return target.caller.held_report(body.owner, self._context.clock())
+
+    def in_use(self) -> int:
+        """Returns the slots in use by running calls."""
+        return sum(len(target.caller.in_use) for target in self._targets.values())
+
+    def describe(self) -> list[dict]:
+        """Returns each target's state for the operators' status."""
+        return [
+            {
+                "upstream": name,
+                "service": item.info.service,
+                "domain": item.domain,
+                "owner": item.owner,
+                "limit": item.caller.view.limit,
+                "in_use": len(item.caller.in_use),
+                "waiting": item.caller.waiting(),
+                "queue_ms": round(item.caller.view.queue_ms, 1),
+                "draining": item.caller.view.draining,
+            }
+            for name, item in sorted(self._targets.items())
+        ]
--- /dev/null
+++ b/src/marjoramvalve/membership/publishers.py
@@ -0,0 +1,95 @@
+"""Answers to polls, at the leader and at relays, and pushes to those that polled lately."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from marjoramvalve.wire.messages import Confirmed, PatchRecord, Poll, Roster, WholeDocument
+
+MAX_DELTAS = 64
+SUBSCRIPTION_S = 10.0
+
+
+class Source(Protocol):
+    """Where a publisher takes configuration and roster from."""
+
+    version: int
+    digest: str
+    roster: Roster
+
+    def deltas(self, version: int) -> tuple[PatchRecord, ...] | None:
+        """Returns the patches after `version`, or None."""
+
+    def whole(self) -> WholeDocument:
+        """Returns the whole document."""
+
+
+@dataclass(slots=True)
+class _Subscriber:
+    address: str
+    version: int
+    epoch: int
+    polled_at: float
+
+
+class Publisher:
+    """Builds answers with just what the asking side lacks."""
+
+    def __init__(self, source: Source) -> None:
+        self._source = source
+        self._subscribers: dict[str, _Subscriber] = {}
+
+    def answer(
+        self, poll: Poll, now: float, age_s: float, leader: str, controllers: dict[str, str]
+    ) -> Confirmed:
+        """Answers a poll and remembers who polled."""
+        member = poll.member
+        self._subscribers[member.name] = _Subscriber(member.peer, poll.version, poll.epoch, now)
+        return self._build(poll.nonce, poll.version, poll.epoch, age_s, leader, controllers)
+
+    def pushes(
+        self, now: float, leader: str, controllers: dict[str, str]
+    ) -> list[tuple[str, str, Confirmed]]:
+        """Returns (name, address, update) for each subscriber that is behind."""
+        out = []
+        for name, item in list(self._subscribers.items()):
+            if now > item.polled_at + SUBSCRIPTION_S:
+                del self._subscribers[name]
+                continue
+            source = self._source
+            if (item.version, item.epoch) == (source.version, source.roster.epoch):
+                continue
+            out.append(
+                (
+                    name,
+                    item.address,
+                    self._build(0, item.version, item.epoch, 0.0, leader, controllers),
+                )
+            )
+            item.version, item.epoch = source.version, source.roster.epoch
+        return out
+
+    def _build(
+        self,
+        nonce: int,
+        version: int,
+        epoch: int,
+        age_s: float,
+        leader: str,
+        controllers: dict[str, str],
+    ) -> Confirmed:
+        source = self._source
+        deltas = source.deltas(version)
+        lacking = deltas is None or len(deltas) > MAX_DELTAS
+        return Confirmed(
+            nonce=nonce,
+            current=True,
+            age_s=age_s,
+            version=source.version,
+            digest=source.digest,
+            epoch=source.roster.epoch,
+            deltas=() if lacking else deltas,
+            whole=source.whole() if lacking else None,
+            roster=source.roster if epoch != source.roster.epoch else None,
+            leader=leader,
+            controllers=controllers,
+        )
--- /dev/null
+++ b/src/marjoramvalve/membership/upstreams.py
@@ -0,0 +1,85 @@
+"""Upstreams beside this instance: announcements, heartbeats, drain and loss."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from marjoramvalve.wire.messages import UpstreamInfo
+
+
+class UpstreamStatus(StrEnum):
+    """State of an upstream beside this instance."""
+
+    UP = "up"
+    DRAINING = "draining"
+    LOST = "lost"
+
+
+@dataclass(slots=True)
+class LocalUpstream:
+    """An upstream with its last heartbeat; `load` is what it reports, which may mislead."""
+
+    info: UpstreamInfo
+    status: UpstreamStatus
+    heard_at: float
+    load: float = 0.0
+
+
+class LocalUpstreams:
+    """Registry of the upstreams that announced themselves to this instance."""
+
+    def __init__(self, silence_s: float) -> None:
+        self._silence_s = silence_s
+        self._items: dict[str, LocalUpstream] = {}
+
+    def announce(self, info: UpstreamInfo, now: float) -> bool:
+        """Takes an announcement or heartbeat; False where a newer incarnation is known."""
+        item = self._items.get(info.name)
+        if item is not None and item.info.incarnation > info.incarnation:
+            return False
+        if item is None or item.info != info:
+            self._items[info.name] = LocalUpstream(info, UpstreamStatus.UP, now)
+            return True
+        item.heard_at = now
+        if item.status is UpstreamStatus.LOST:
+            item.status = UpstreamStatus.UP
+        return True
+
+    def report(self, name: str, load: float) -> None:
+        """Notes the load that an upstream reports."""
+        if name in self._items:
+            self._items[name].load = load
+
+    def drain(self, name: str) -> bool:
+        """Marks an upstream as leaving: it gets no new work."""
+        item = self._items.get(name)
+        if item is None:
+            return False
+        item.status = UpstreamStatus.DRAINING
+        return True
+
+    def leave(self, name: str) -> bool:
+        """Forgets an upstream that has left."""
+        return self._items.pop(name, None) is not None
+
+    def expire(self, now: float) -> list[str]:
+        """Marks silent upstreams as lost and returns their names."""
+        lost = []
+        for name, item in self._items.items():
+            if item.status is not UpstreamStatus.LOST and now > item.heard_at + self._silence_s:
+                item.status = UpstreamStatus.LOST
+                lost.append(name)
+        return lost
+
+    def get(self, name: str) -> LocalUpstream | None:
+        """Returns an upstream by name."""
+        return self._items.get(name)
+
+    def all(self) -> tuple[LocalUpstream, ...]:
+        """Returns every upstream."""
+        return tuple(self._items.values())
+
+    def announced(self) -> tuple[UpstreamInfo, ...]:
+        """Returns what goes into the roster: upstreams that are up or draining."""
+        return tuple(
+            item.info for item in self._items.values() if item.status is not UpstreamStatus.LOST
+        )
--- /dev/null
+++ b/src/marjoramvalve/model/__init__.py
@@ -0,0 +1,33 @@
+"""The numbered configuration document: types, validation, patches, digests."""
+
+from marjoramvalve.model.documents import (
+    PRIORITIES,
+    Customer,
+    Document,
+    Key,
+    Policy,
+    Route,
+    decode_document,
+    document_digest,
+    encode_document,
+    key_digest,
+    validate_document,
+)
+from marjoramvalve.model.patches import PatchKind, apply_patch, merge_patch
+
+__all__ = [
+    "PRIORITIES",
+    "Customer",
+    "Document",
+    "Key",
+    "PatchKind",
+    "Policy",
+    "Route",
+    "apply_patch",
+    "decode_document",
+    "document_digest",
+    "encode_document",
+    "key_digest",
+    "merge_patch",
+    "validate_document",
+]
--- /dev/null
+++ b/src/marjoramvalve/once/handovers.py
@@ -0,0 +1,122 @@
+"""Hand-over of records when the placement of keepers changes.
+
+Under a new placement epoch each instance sends every other one the records that it should keep
+from then on, also when there are none. A keeper is ready once it has heard from all of them, and
+an instance is settled once it is ready and its own parts were acknowledged.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from marjoramvalve.wire.messages import HandOver, RecordCopy
+
+MAX_PART_BYTES = 200_000
+RESEND_S = 0.5
+
+
+@dataclass(slots=True)
+class _Outgoing:
+    parts: dict[int, HandOver]
+    sent_at: float = -1e18
+
+
+@dataclass(slots=True)
+class _Incoming:
+    parts: set[int] = field(default_factory=set)
+    last: int = -1
+
+    def is_whole(self) -> bool:
+        return self.last >= 0 and len(self.parts) == self.last + 1
+
+
+def split_parts(placement_epoch: int, records: list[RecordCopy]) -> dict[int, HandOver]:
+    """Returns records in parts of bounded size, the last one marked."""
+    groups: list[list[RecordCopy]] = [[]]
+    size = 0
+    for record in records:
+        size += len(record.answer) + len(record.scope) + 100
+        if size > MAX_PART_BYTES and groups[-1]:
+            groups.append([])
+            size = len(record.answer) + len(record.scope) + 100
+        groups[-1].append(record)
+    last = len(groups) - 1
+    return {
+        part: HandOver(placement_epoch, part, tuple(group), part == last)
+        for part, group in enumerate(groups)
+    }
+
+
+class HandOverState:
+    """Progress of the hand-over of one instance."""
+
+    def __init__(self) -> None:
+        self.placement_epoch = 0
+        self._outgoing: dict[str, _Outgoing] = {}
+        self._incoming: dict[str, _Incoming] = {}
+        self._early: dict[tuple[str, int], _Incoming] = {}
+        self._others: tuple[str, ...] = ()
+
+    def begin(
+        self,
+        placement_epoch: int,
+        others: tuple[str, ...],
+        records: tuple[RecordCopy, ...],
+        keepers_of: Callable[[str], tuple[str, ...]],
+    ) -> None:
+        """Starts the hand-over for a new placement epoch."""
+        self.placement_epoch = placement_epoch
+        self._others = others
+        by_keeper: dict[str, list[RecordCopy]] = {name: [] for name in others}
+        for record in records:
+            for name in keepers_of(record.scope):
+                if name in by_keeper:
+                    by_keeper[name].append(record)
+        self._outgoing = {
+            name: _Outgoing(split_parts(placement_epoch, held)) for name, held in by_keeper.items()
+        }
+        self._incoming = {
+            name: self._early.pop((name, placement_epoch), _Incoming()) for name in others
+        }
+        self._early = {key: item for key, item in self._early.items() if key[1] > placement_epoch}
+
+    def received(self, src: str, body: HandOver) -> None:
+        """Notes a part from another instance; parts may come before the epoch is known here."""
+        if body.placement_epoch < self.placement_epoch:
+            return
+        if body.placement_epoch > self.placement_epoch:
+            item = self._early.setdefault((src, body.placement_epoch), _Incoming())
+        else:
+            item = self._incoming.setdefault(src, _Incoming())
+        item.parts.add(body.part)
+        if body.last:
+            item.last = body.part
+
+    def acknowledged(self, src: str, placement_epoch: int, part: int) -> None:
+        """Notes that another instance took a part."""
+        outgoing = self._outgoing.get(src)
+        if outgoing is not None and placement_epoch == self.placement_epoch:
+            outgoing.parts.pop(part, None)
+
+    def due(self, now: float) -> list[tuple[str, HandOver]]:
+        """Returns (name, part) for everything to send now."""
+        out = []
+        for name, outgoing in self._outgoing.items():
+            if outgoing.parts and now >= outgoing.sent_at + RESEND_S:
+                outgoing.sent_at = now
+                out.extend((name, part) for part in outgoing.parts.values())
+        return out
+
+    def is_ready(self) -> bool:
+        """Tells whether every other instance has handed over."""
+        return self.placement_epoch > 0 and all(
+            self._incoming[name].is_whole() for name in self._others
+        )
+
+    def is_sent(self) -> bool:
+        """Tells whether every part of this instance was acknowledged."""
+        return all(not outgoing.parts for outgoing in self._outgoing.values())
+
+    def settled_epoch(self) -> int:
+        """Returns the placement epoch that is settled here, or the one before."""
+        done = self.is_ready() and self.is_sent()
+        return self.placement_epoch if done else self.placement_epoch - 1
--- /dev/null
+++ b/src/marjoramvalve/once/keys.py
@@ -0,0 +1,46 @@
+"""The caller's Idempotency-Key (draft-ietf-httpapi-idempotency-key-header).
+
+The value is a quoted string; the parameter `created` gives the Unix time in seconds at which the
+caller made the key, as in `"order-7"; created=1700000000`.
+"""
+
+import hashlib
+import re
+from dataclasses import dataclass
+
+KEY_PATTERN = re.compile(r'"([\x20-\x21\x23-\x5b\x5d-\x7e]{1,128})"(?:\s*;\s*created=(\d{1,12}))?')
+BARE_PATTERN = re.compile(r"[A-Za-z0-9._:-]{1,128}")
+
+
+@dataclass(frozen=True, slots=True)
+class IdempotencyKey:
+    """A parsed key; `created` is 0 where the caller did not say."""
+
+    value: str
+    created: float
+
+
+@dataclass(frozen=True, slots=True)
+class KeyProblem:
+    """A key that does not parse."""
+
+    text: str
+
+
+def parse_key(text: str) -> IdempotencyKey | KeyProblem:
+    """Returns the key of a header value; a bare token is taken for the string of the same text."""
+    match = KEY_PATTERN.fullmatch(text.strip())
+    if match is not None:
+        return IdempotencyKey(match.group(1), float(match.group(2) or 0))
+    if BARE_PATTERN.fullmatch(text.strip()):
+        return IdempotencyKey(text.strip(), 0.0)
+    return KeyProblem(text[:64])
+
+
+def request_digest(method: str, path: str, body: bytes) -> str:
+    """Returns a digest by which a resend is told from another request under the same key."""
+    hashed = hashlib.blake2b(digest_size=16)
+    for part in (method.encode(), path.encode(), body):
+        hashed.update(len(part).to_bytes(8, "big"))
+        hashed.update(part)
+    return hashed.hexdigest()
--- /dev/null
+++ b/src/marjoramvalve/outcomes/refusals.py
@@ -0,0 +1,79 @@
+"""Refusals of calls, with the statement whether the request ran."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class Run(StrEnum):
+    """Tells whether a refused request may have run at an upstream."""
+
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class Reason(StrEnum):
+    """Stable identifiers of refusal reasons, used in problem details and metrics."""
+
+    BAD_REQUEST = "bad-request"
+    NO_KEY = "no-key"
+    UNKNOWN_KEY = "unknown-key"
+    NO_ROUTE = "no-route"
+    STALE_CONFIG = "stale-config"
+    RATE = "rate"
+    OVERLOAD = "overload"
+    NO_UPSTREAM = "no-upstream"
+    DEADLINE = "deadline"
+    QUARANTINED = "quarantined"
+    NO_KEEPER = "no-keeper"
+    CONFLICT = "conflict"
+    KEY_REUSED = "key-reused"
+    KEY_TOO_OLD = "key-too-old"
+    TOO_LARGE = "too-large"
+    SLOW_CALLER = "slow-caller"
+    UPSTREAM_FAILED = "upstream-failed"
+    CANCELLED = "cancelled"
+    STOPPING = "stopping"
+
+
+STATUS = {
+    Reason.BAD_REQUEST: 400,
+    Reason.NO_KEY: 401,
+    Reason.UNKNOWN_KEY: 401,
+    Reason.NO_ROUTE: 404,
+    Reason.STALE_CONFIG: 503,
+    Reason.RATE: 429,
+    Reason.OVERLOAD: 503,
+    Reason.NO_UPSTREAM: 503,
+    Reason.DEADLINE: 504,
+    Reason.QUARANTINED: 503,
+    Reason.NO_KEEPER: 503,
+    Reason.CONFLICT: 409,
+    Reason.KEY_REUSED: 422,
+    Reason.KEY_TOO_OLD: 409,
+    Reason.TOO_LARGE: 413,
+    Reason.SLOW_CALLER: 408,
+    Reason.UPSTREAM_FAILED: 502,
+    Reason.CANCELLED: 499,
+    Reason.STOPPING: 503,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A refused call: reason, HTTP status, run statement, text and when to come back.
+
+    `retry_after_s` is 0 when coming back would not help.
+    """
+
+    reason: Reason
+    status: int
+    run: Run
+    detail: str
+    retry_after_s: float = 0.0
+
+
+def refuse(
+    reason: Reason, detail: str, run: Run = Run.NOT_RUN, retry_after_s: float = 0.0
+) -> Refusal:
+    """Builds a refusal with the status that belongs to its reason."""
+    return Refusal(reason, STATUS[reason], run, detail, retry_after_s)
--- /dev/null
+++ b/src/marjoramvalve/rates/__init__.py
@@ -0,0 +1,7 @@
+"""Fleet-wide rates: a token bucket per customer, split by escrow over failure domains."""
+
+from marjoramvalve.rates.buckets import TokenBucket
+from marjoramvalve.rates.lots import Lot, LotBook, LotOutcome
+from marjoramvalve.rates.owners import BucketOwners, Share
+
+__all__ = ["BucketOwners", "Lot", "LotBook", "LotOutcome", "Share", "TokenBucket"]
--- /dev/null
+++ b/src/marjoramvalve/rates/owners.py
@@ -0,0 +1,130 @@
+"""Owners of customers' buckets: one for each customer and failure domain.
+
+The domains' shares of a customer's rate and burst add up to the whole. Tokens move between
+owners one way, and a lost transfer loses them, so that the sum over the fleet never exceeds
+burst + rate x t. A new owner starts empty, and gains nothing until the lease under which the
+earlier owner may still have been giving has run out.
+"""
+
+from dataclasses import dataclass
+
+from marjoramvalve.rates.buckets import TokenBucket
+from marjoramvalve.wire.messages import LotAnswer, LotRequest, TokenTransfer
+
+LOT_S = 0.02
+LOT_LIFE_S = 0.06
+LOAN_PART = 0.5
+DEBTOR_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Share:
+    """A domain's share of a customer's rate (calls a second) and burst (calls)."""
+
+    rate: float
+    burst: float
+
+
+@dataclass(slots=True)
+class _Owned:
+    bucket: TokenBucket
+    starts_at: float
+    debtors: dict[str, tuple[float, float]]
+
+
+@dataclass(frozen=True, slots=True)
+class Push:
+    """A transfer to send to the owner in another domain, by its peer address."""
+
+    address: str
+    body: TokenTransfer
+
+
+class BucketOwners:
+    """The buckets that this instance owns."""
+
+    def __init__(self, fence_s: float, drift: float) -> None:
+        self._stretch = (1 + drift) / (1 - drift)
+        self._fence_s = fence_s * self._stretch
+        self._owned: dict[str, _Owned] = {}
+
+    def keep(self, customer: str, share: Share, fresh: bool, now: float) -> None:
+        """Owns a customer's bucket, or changes its share.
+
+        `fresh` tells that the customer did not exist before, so that nobody has spent from its
+        burst; otherwise a new bucket starts empty and fenced.
+        """
+        item = self._owned.get(customer)
+        if item is not None:
+            if (item.bucket.rate, item.bucket.burst) != (share.rate, share.burst):
+                item.bucket.change(share.rate, share.burst, now)
+            return
+        tokens = share.burst if fresh else 0.0
+        starts_at = now if fresh else now + self._fence_s
+        bucket = TokenBucket(share.rate, share.burst, tokens, starts_at)
+        self._owned[customer] = _Owned(bucket, starts_at, {})
+
+    def drop(self, customer: str, now: float) -> float:
+        """Gives up a bucket; returns the tokens in it, for its next owner."""
+        item = self._owned.pop(customer, None)
+        if item is None:
+            return 0.0
+        item.bucket.refill(now)
+        return item.bucket.tokens
+
+    def customers(self) -> tuple[str, ...]:
+        """Returns the customers whose buckets are owned here."""
+        return tuple(self._owned)
+
+    def request(self, body: LotRequest, address: str, now: float) -> LotAnswer:
+        """Answers a request for tokens, of a node or of the owner in another domain."""
+        item = self._owned.get(body.customer)
+        if item is None:
+            return LotAnswer(body.customer, body.nonce, 0.0, 0.0, False)
+        most = self._most(item, body, now)
+        granted = item.bucket.take(1.0, most, now)
+        if not body.lend:
+            item.bucket.lend(granted - min(granted, body.need), now + LOT_LIFE_S * self._stretch)
+        if body.lend and body.deficit > granted:
+            item.debtors[address] = (now, body.deficit - granted)
+        wait = 0.0 if granted else item.bucket.wait_s(1.0, now)
+        wait += max(0.0, item.starts_at - now)
+        return LotAnswer(body.customer, body.nonce, granted, min(wait, 60.0), True)
+
+    def _most(self, item: _Owned, body: LotRequest, now: float) -> float:
+        if body.lend:
+            item.bucket.refill(now)
+            return max(body.need, min(body.want, item.bucket.tokens * LOAN_PART))
+        spare = min(body.want - body.need, item.bucket.rate * LOT_S)
+        return body.need + max(0.0, spare)
+
+    def deficit(self, customer: str, now: float) -> float:
+        """Returns how many tokens a bucket lacks to its burst."""
+        item = self._owned.get(customer)
+        if item is None:
+            return 0.0
+        item.bucket.refill(now)
+        return item.bucket.burst - item.bucket.tokens
+
+    def add(self, customer: str, tokens: float, now: float) -> None:
+        """Takes in tokens from another owner, or given back by a node."""
+        item = self._owned.get(customer)
+        if item is not None:
+            item.bucket.add(tokens, now)
+
+    def overflow(self, placement_epoch: int, now: float) -> list[Push]:
+        """Returns transfers of tokens that do not fit here to owners that lack them."""
+        pushes = []
+        for customer, item in self._owned.items():
+            spare = item.bucket.refill(now)
+            for address, (asked_at, lacking) in list(item.debtors.items()):
+                if now > asked_at + DEBTOR_S or lacking <= 0:
+                    del item.debtors[address]
+                    continue
+                moved = min(spare, lacking)
+                if moved > 0:
+                    spare -= moved
+                    item.debtors[address] = (asked_at, lacking - moved)
+                    body = TokenTransfer(customer, placement_epoch, moved)
+                    pushes.append(Push(address, body))
+        return pushes
--- /dev/null
+++ b/src/marjoramvalve/retries/__init__.py
@@ -0,0 +1,18 @@
+"""Bounds on retries, call tokens that carry them, quarantine of crashing requests."""
+
+from marjoramvalve.retries.backoff import retry_after
+from marjoramvalve.retries.budgets import ChainBudget, RouteBudget, hand_down
+from marjoramvalve.retries.quarantines import CRASHES_TO_QUARANTINE, QuarantineBook, fingerprint
+from marjoramvalve.retries.tokens import CallToken, TokenMint
+
+__all__ = [
+    "CRASHES_TO_QUARANTINE",
+    "CallToken",
+    "ChainBudget",
+    "QuarantineBook",
+    "RouteBudget",
+    "TokenMint",
+    "fingerprint",
+    "hand_down",
+    "retry_after",
+]
--- /dev/null
+++ b/src/marjoramvalve/retries/backoff.py
@@ -0,0 +1,12 @@
+"""When to tell a refused caller to come back."""
+
+import random
+
+LEAST_S = 0.1
+MOST_S = 30.0
+
+
+def retry_after(base_s: float, rng: random.Random) -> float:
+    """Returns a delay in seconds, spread evenly over one to two times the base."""
+    base = min(MOST_S, max(LEAST_S, base_s))
+    return base * (1 + rng.random())
--- /dev/null
+++ b/src/marjoramvalve/retries/budgets.py
@@ -0,0 +1,48 @@
+"""Retry budgets: one for a whole call chain, and one for each route.
+
+A call that arrives with budget R makes at most one attempt more than its first. The first
+attempt hands down R - 1, the second hands down 0. The extra attempts below and at any hop then
+add up to at most R: E(0) = 0 and E(R) <= 1 + E(R - 1) + E(0). Each level of a chain of any depth
+therefore runs at most 1 + R times for one original request, whatever fails. A call that fans out
+hands its budget to each sub-call, and each branch keeps the bound by itself.
+"""
+
+from dataclasses import dataclass
+
+MAX_ROUTE_TOKENS = 10.0
+FAILURE_COST = 1.0
+
+
+def hand_down(budget: int, attempt: int) -> int:
+    """Returns the budget that attempt number `attempt`, from 0, carries down the chain."""
+    return max(0, budget - 1) if attempt == 0 else 0
+
+
+@dataclass(frozen=True, slots=True)
+class ChainBudget:
+    """Retries left to a call and everything below it."""
+
+    left: int
+
+    def attempts(self) -> int:
+        """Returns how many attempts this hop may make in all."""
+        return 1 + min(1, self.left)
+
+
+class RouteBudget:
+    """Token bucket of retries for a route: each success earns `ratio` of a retry."""
+
+    def __init__(self, ratio: float) -> None:
+        self.ratio = ratio
+        self.tokens = MAX_ROUTE_TOKENS
+
+    def succeeded(self) -> None:
+        """Earns for a success."""
+        self.tokens = min(MAX_ROUTE_TOKENS, self.tokens + self.ratio)
+
+    def take(self) -> bool:
+        """Spends one retry, if there is one."""
+        if self.tokens < FAILURE_COST:
+            return False
+        self.tokens -= FAILURE_COST
+        return True
--- /dev/null
+++ b/src/marjoramvalve/retries/quarantines.py
@@ -0,0 +1,63 @@
+"""Quarantine of requests that crash the upstreams that run them."""
+
+import hashlib
+
+CRASHES_TO_QUARANTINE = 2
+FINGERPRINT_BYTES = 16
+MAX_ENTRIES = 10_000
+
+
+def fingerprint(customer: str, method: str, path: str, body: bytes) -> str:
+    """Returns the fingerprint of a request."""
+    hashed = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for part in (customer.encode(), method.encode(), path.encode(), body):
+        hashed.update(len(part).to_bytes(8, "big"))
+        hashed.update(part)
+    return hashed.hexdigest()
+
+
+class QuarantineBook:
+    """Fingerprints of requests whose connection died while an upstream ran them.
+
+    A request counts as crashing only when the connection ended without an answer and the
+    upstream did not answer a new connection, or ended those of other calls as well; the callers
+    decide that. Entries end after `ttl_s`.
+    """
+
+    def __init__(self) -> None:
+        self._entries: dict[str, tuple[int, float]] = {}
+
+    def crashed(self, mark: str, ttl_s: float, now: float) -> int:
+        """Counts a crash; returns how many are known."""
+        count = self.crashes(mark, now) + 1
+        self.merge(mark, count, ttl_s, now)
+        return count
+
+    def merge(self, mark: str, count: int, ttl_s: float, now: float) -> None:
+        """Takes in what another instance of the failure domain has counted."""
+        known = self.crashes(mark, now)
+        if count > known:
+            self._entries.pop(mark, None)
+            self._entries[mark] = (count, now + ttl_s)
+        while len(self._entries) > MAX_ENTRIES:
+            del self._entries[next(iter(self._entries))]
+
+    def crashes(self, mark: str, now: float) -> int:
+        """Returns the crashes counted for a fingerprint."""
+        count, until = self._entries.get(mark, (0, 0.0))
+        if count and now >= until:
+            del self._entries[mark]
+            return 0
+        return count
+
+    def clear(self, mark: str) -> None:
+        """Forgets a fingerprint whose request was answered after all."""
+        if self._entries.get(mark, (0, 0.0))[0] < CRASHES_TO_QUARANTINE:
+            self._entries.pop(mark, None)
+
+    def is_quarantined(self, mark: str, now: float) -> bool:
+        """Tells whether a request must not run."""
+        return bool(self._entries) and self.crashes(mark, now) >= CRASHES_TO_QUARANTINE
+
+    def __len__(self) -> int:
+        return len(self._entries)
--- /dev/null
+++ b/src/marjoramvalve/retries/tokens.py
@@ -0,0 +1,58 @@
+"""Call tokens: what an upstream passes on with its sub-calls, authenticated by the fleet."""
+
+import base64
+import binascii
+import hashlib
+import hmac
+
+import msgspec
+
+MAC_BYTES = 16
+PERSON = b"marjoramvalvetok"
+
+
+class CallToken(msgspec.Struct, frozen=True, array_like=True):
+    """Context of a call: request id, customer, priority rank, retries and deadline.
+
+    `deadline_ms` is wall time in milliseconds. An empty customer stands for an open route.
+    """
+
+    request_id: str
+    customer: str
+    rank: int
+    retries: int
+    deadline_ms: int
+    depth: int
+    traceparent: str = ""
+
+
+class TokenMint:
+    """Seals and opens call tokens with a secret of the fleet."""
+
+    def __init__(self, secret: bytes) -> None:
+        self._key = hashlib.blake2b(secret, digest_size=32, person=PERSON).digest()
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(CallToken)
+
+    def _mac(self, raw: bytes) -> bytes:
+        return hashlib.blake2b(raw, key=self._key, digest_size=MAC_BYTES).digest()
+
+    def seal(self, token: CallToken) -> str:
+        """Returns the token as header text."""
+        raw = self._encoder.encode(token)
+        return base64.urlsafe_b64encode(self._mac(raw) + raw).decode()
+
+    def open(self, text: str, now_ms: int) -> CallToken | None:
+        """Returns the token, or None when it is forged, damaged or expired."""
+        try:
+            sealed = base64.urlsafe_b64decode(text.encode())
+        except (binascii.Error, ValueError):
+            return None
+        raw = sealed[MAC_BYTES:]
+        if not hmac.compare_digest(sealed[:MAC_BYTES], self._mac(raw)):
+            return None
+        try:
+            token = self._decoder.decode(raw)
+        except msgspec.DecodeError:
+            return None
+        return token if now_ms < token.deadline_ms else None
--- /dev/null
+++ b/src/marjoramvalve/storage/folders.py
@@ -0,0 +1,109 @@
+"""The data folder: a lock, one snapshot and one log of records after it."""
+
+import fcntl
+import os
+from dataclasses import dataclass
+from pathlib import Path
+
+from marjoramvalve.storage.records import (
+    CorruptRecord,
+    RecordFile,
+    Records,
+    encode_record,
+    read_records,
+    sync_folder,
+    write_synced,
+)
+
+LOCK_NAME = "lock"
+SNAPSHOT_NAME = "snapshot"
+LOG_NAME = "log"
+
+
+@dataclass(frozen=True, slots=True)
+class FolderLocked:
+    """Another process uses the folder."""
+
+    path: Path
+
+
+@dataclass(frozen=True, slots=True)
+class Recovered:
+    """What a folder held: snapshot payload or None, log payloads, torn bytes, bytes read."""
+
+    snapshot: bytes | None
+    payloads: tuple[bytes, ...]
+    torn: int
+    bytes_read: int
+
+
+class DataFolder:
+    """An open data folder. The process that holds it is the only one that writes."""
+
+    def __init__(self, path: Path, lock_fd: int, log: RecordFile) -> None:
+        self.path = path
+        self.log = log
+        self._lock_fd = lock_fd
+
+    def append(self, payloads: list[bytes]) -> None:
+        """Appends records to the log; they are synced on return. Raises OSError."""
+        self.log.append(payloads)
+
+    def write_snapshot(self, snapshot: bytes, payloads: list[bytes]) -> None:
+        """Replaces the snapshot and then the log.
+
+        A crash between the two leaves the new snapshot with the old log, whose entries up to the
+        snapshot's index recovery drops.
+        """
+        write_synced(self.path / SNAPSHOT_NAME, encode_record(snapshot))
+        data = b"".join(encode_record(payload) for payload in payloads)
+        self.log.close()
+        write_synced(self.path / LOG_NAME, data)
+        self.log.start(len(data))
+
+    def close(self) -> None:
+        """Closes the log and gives the folder free."""
+        self.log.close()
+        os.close(self._lock_fd)
+
+
+def _lock(path: Path) -> int | None:
+    fd = os.open(path / LOCK_NAME, os.O_RDWR | os.O_CREAT, 0o600)
+    try:
+        fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        os.close(fd)
+        return None
+    return fd
+
+
+def _read(path: Path) -> Records | CorruptRecord:
+    if not path.exists():
+        return Records((), 0, 0)
+    return read_records(path)
+
+
+def _read_snapshot(path: Path) -> Records | CorruptRecord:
+    found = _read(path)
+    if isinstance(found, Records) and found.torn:
+        return CorruptRecord(path, found.end, "snapshot is not whole")
+    return found
+
+
+def open_folder(path: Path) -> tuple[DataFolder, Recovered] | CorruptRecord | FolderLocked:
+    """Locks and reads a data folder; a torn tail of the log is cut, other damage is returned."""
+    lock_fd = _lock(path)
+    if lock_fd is None:
+        return FolderLocked(path)
+    snapshot = _read_snapshot(path / SNAPSHOT_NAME)
+    log = _read(path / LOG_NAME)
+    for found in (snapshot, log):
+        if isinstance(found, CorruptRecord):
+            os.close(lock_fd)
+            return found
+    file = RecordFile(path / LOG_NAME)
+    file.start(log.end)
+    sync_folder(path)
+    held = snapshot.payloads[0] if snapshot.payloads else None
+    recovered = Recovered(held, log.payloads, log.torn, snapshot.end + log.end)
+    return DataFolder(path, lock_fd, file), recovered
--- /dev/null
+++ b/src/marjoramvalve/wire/codec.py
@@ -0,0 +1,87 @@
+"""Authenticated encoding of messages: a keyed digest and a msgpack envelope."""
+
+import hashlib
+import hmac
+from dataclasses import dataclass
+
+import msgspec
+
+from marjoramvalve.wire import messages as m
+
+MAC_BYTES = 16
+MAC_PERSON = b"marjoramvalvewir"
+
+AnyMessage = (
+    m.PreVote
+    | m.PreVoted
+    | m.Vote
+    | m.Voted
+    | m.AppendEntries
+    | m.Appended
+    | m.InstallSnapshot
+    | m.Poll
+    | m.Confirmed
+    | m.SlotAsk
+    | m.SlotGrant
+    | m.HeldQuery
+    | m.HeldReport
+    | m.LotRequest
+    | m.LotAnswer
+    | m.TokenTransfer
+    | m.KeeperBegin
+    | m.KeeperAnswer
+    | m.KeeperFinish
+    | m.HandOver
+    | m.HandOverDone
+    | m.Quarantine
+)
+
+
+class _Frame(msgspec.Struct, frozen=True, array_like=True):
+    src: str
+    address: str
+    dst: str
+    body: AnyMessage
+
+
+@dataclass(frozen=True, slots=True)
+class Envelope:
+    """A received message, the name and the peer address of its sender."""
+
+    src: str
+    address: str
+    body: m.Message
+
+
+class Codec:
+    """Encodes messages of one instance and decodes those that carry the fleet's secret."""
+
+    def __init__(self, secret: bytes, name: str, address: str) -> None:
+        self._key = hashlib.blake2b(secret, digest_size=32).digest()
+        self._name = name
+        self._address = address
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(_Frame)
+
+    def _mac(self, raw: bytes) -> bytes:
+        return hashlib.blake2b(
+            raw, key=self._key, digest_size=MAC_BYTES, person=MAC_PERSON
+        ).digest()
+
+    def encode(self, body: m.Message, dst: str = "") -> bytes:
+        """Returns the frame for a message; `dst` limits it to one instance by name."""
+        raw = self._encoder.encode(_Frame(self._name, self._address, dst, body))
+        return self._mac(raw) + raw
+
+    def decode(self, frame: bytes) -> Envelope | None:
+        """Returns the envelope, or None for a forged, damaged or misdirected frame."""
+        raw = frame[MAC_BYTES:]
+        if not hmac.compare_digest(frame[:MAC_BYTES], self._mac(raw)):
+            return None
+        try:
+            inner = self._decoder.decode(raw)
+        except msgspec.DecodeError:
+            return None
+        if inner.dst and inner.dst != self._name:
+            return None
+        return Envelope(inner.src, inner.address, inner.body)
--- /dev/null
+++ b/src/marjoramvalve/wire/messages.py
@@ -0,0 +1,415 @@
+"""Typed messages between instances. Durations are in seconds unless the name says otherwise."""
+
+import msgspec
+
+__all__ = [
+    "Alive",
+    "Appended",
+    "AppendEntries",
+    "Confirmed",
+    "Entry",
+    "EntryKind",
+    "HandOver",
+    "HandOverDone",
+    "HeldQuery",
+    "HeldReport",
+    "InstallSnapshot",
+    "KeeperAnswer",
+    "KeeperBegin",
+    "KeeperFinish",
+    "LotAnswer",
+    "LotRequest",
+    "Member",
+    "Members",
+    "Message",
+    "PatchRecord",
+    "Poll",
+    "PreVote",
+    "PreVoted",
+    "Quarantine",
+    "RecordCopy",
+    "Roster",
+    "SlotAsk",
+    "SlotGrant",
+    "SlotWait",
+    "TokenTransfer",
+    "UpstreamInfo",
+    "Vote",
+    "Voted",
+    "WholeDocument",
+]
+
+
+class Message(msgspec.Struct, frozen=True, array_like=True):
+    """Base of every message."""
+
+
+# Shared records
+
+
+class UpstreamInfo(Message, frozen=True):
+    """An upstream as its node announces it: name, service, address of its HTTP port."""
+
+    name: str
+    service: str
+    address: str
+    slots: int
+    connections: int
+    incarnation: int
+
+
+class Member(Message, frozen=True):
+    """An instance in the roster with the upstreams that stand beside it."""
+
+    name: str
+    domain: str
+    region: str
+    peer: str
+    control: str
+    incarnation: int
+    upstreams: tuple[UpstreamInfo, ...] = ()
+
+
+class Roster(Message, frozen=True):
+    """The committed instances under one epoch.
+
+    `placement_epoch` changes only with the set of instances and incarnations, on which keepers
+    and bucket owners depend. `once_floor` is the wall time in seconds before which idempotency
+    records may have been lost; 0 means never.
+    """
+
+    epoch: int
+    placement_epoch: int
+    members: tuple[Member, ...]
+    once_floor: float = 0.0
+
+
+class PatchRecord(Message, frozen=True):
+    """An accepted patch: the version it made and the digest of the resulting document."""
+
+    version: int
+    kind: str
+    body: bytes
+    digest: str
+
+
+# Consensus
+
+
+class EntryKind:
+    """Kinds of log entries."""
+
+    NOOP = 0
+    COMMAND = 1
+    MEMBERS = 2
+
+
+class Entry(Message, frozen=True):
+    """One entry of the replicated log."""
+
+    term: int
+    index: int
+    kind: int
+    data: bytes
+
+
+class Members(Message, frozen=True):
+    """The consensus group: peer address by name, of voters and of learners."""
+
+    voters: dict[str, str]
+    learners: dict[str, str]
+
+
+class PreVote(Message, frozen=True, tag=1):
+    """Asks whether a vote in `term` would be granted; changes no state."""
+
+    term: int
+    last_index: int
+    last_term: int
+
+
+class PreVoted(Message, frozen=True, tag=2):
+    """Answers a PreVote for `term`; `current` is the answering side's own term."""
+
+    term: int
+    current: int
+    granted: bool
+
+
+class Vote(Message, frozen=True, tag=3):
+    """Asks for a vote in `term`."""
+
+    term: int
+    last_index: int
+    last_term: int
+
+
+class Voted(Message, frozen=True, tag=4):
+    """Answers a Vote."""
+
+    term: int
+    granted: bool
+
+
+class AppendEntries(Message, frozen=True, tag=5):
+    """Replicates entries and serves as heartbeat; `sent_at` is the leader's clock, echoed."""
+
+    term: int
+    prev_index: int
+    prev_term: int
+    entries: tuple[Entry, ...]
+    commit: int
+    sent_at: float
+
+
+class Appended(Message, frozen=True, tag=6):
+    """Answers AppendEntries and InstallSnapshot: the last matching index or a hint where to go."""
+
+    term: int
+    success: bool
+    match: int
+    sent_at: float
+
+
+class InstallSnapshot(Message, frozen=True, tag=7):
+    """Carries a whole snapshot to a replica that is behind the log's start."""
+
+    term: int
+    last_index: int
+    last_term: int
+    members: Members
+    state: bytes
+    sent_at: float
+
+
+# Configuration
+
+
+class Poll(Message, frozen=True, tag=10):
+    """An instance's poll: what it is, what it has, what it suspects, what it has settled."""
+
+    member: Member
+    version: int
+    epoch: int
+    settled_epoch: int
+    nonce: int
+    suspects: tuple[str, ...] = ()
+    leaving: bool = False
+    alive: tuple["Alive", ...] = ()
+    relayed: tuple["Poll", ...] = ()
+
+
+class Alive(Message, frozen=True):
+    """A member that a relay has heard from, unchanged against the roster."""
+
+    name: str
+    silent_s: float
+    settled_epoch: int
+    suspects: tuple[str, ...] = ()
+
+
+class WholeDocument(Message, frozen=True):
+    """A whole document under its version."""
+
+    version: int
+    body: bytes
+
+
+class Confirmed(Message, frozen=True, tag=11):
+    """Answers a Poll with what the asking side lacks.
+
+    `age_s` is how long ago the answering side's knowledge was confirmed by the leader;
+    `deltas` follow the asker's version, `whole` stands in for them when they are not kept.
+    `current` is false where the answering side does not know, and then nothing is confirmed.
+    """
+
+    nonce: int
+    current: bool
+    age_s: float
+    version: int
+    digest: str
+    epoch: int
+    deltas: tuple[PatchRecord, ...] = ()
+    whole: WholeDocument | None = None
+    roster: Roster | None = None
+    leader: str = ""
+    controllers: dict[str, str] = {}
+
+
+# Slots
+
+
+class SlotWait(Message, frozen=True):
+    """A call that waits for a slot: rank of its priority, customer, time left in milliseconds."""
+
+    wait: int
+    rank: int
+    customer: str
+    weight: float
+    left_ms: int
+
+
+class SlotAsk(Message, frozen=True, tag=20):
+    """A caller's renewal of its session at an upstream, with its waits and what it saw.
+
+    `held` lists the slots that it still holds, `seen` the highest grant it has taken in;
+    grants up to `seen` that are not held are free again. `owner` is the owner's incarnation as the
+    caller knows it, 0 before the first answer. `want` is how many slots its demand
+    calls for. Latencies are in milliseconds, counted since the last ask.
+    """
+
+    upstream: str
+    session: int
+    owner: int
+    seq: int
+    seen: int
+    held: tuple[int, ...]
+    waits: tuple[SlotWait, ...]
+    want: int
+    longest_s: float
+    done: int = 0
+    latency_ms: float = 0.0
+    latency_min_ms: float = 0.0
+    shed: int = 0
+    failed: int = 0
+
+
+class SlotGrant(Message, frozen=True, tag=21):
+    """The owner's answer: slots granted to waits (or spare, wait 0), waits refused, status."""
+
+    upstream: str
+    session: int
+    seq: int
+    owner: int
+    ask_seq: int
+    slots: tuple[tuple[int, int], ...]
+    refused: tuple[int, ...]
+    lease_s: float
+    limit: int
+    queue_ms: float
+    short: bool
+    draining: bool
+    connections: int
+
+
+class HeldQuery(Message, frozen=True, tag=22):
+    """A restarted owner asks which slots an instance still holds from its earlier life."""
+
+    upstream: str
+    owner: int
+
+
+class HeldReport(Message, frozen=True, tag=23):
+    """Answers HeldQuery: calls in flight and the longest time left to them."""
+
+    upstream: str
+    owner: int
+    calls: int
+    longest_s: float
+
+
+# Rates
+
+
+class LotRequest(Message, frozen=True, tag=30):
+    """Asks a customer's bucket owner for tokens.
+
+    `need` is for calls that wait, `want` adds what may come soon. `lend` marks a request to the
+    owner in another domain; `deficit` is what the asking owner lacks to its burst.
+    """
+
+    customer: str
+    placement_epoch: int
+    need: float
+    want: float
+    nonce: int
+    lend: bool = False
+    deficit: float = 0.0
+
+
+class LotAnswer(Message, frozen=True, tag=31):
+    """Tokens granted. `retry_after_s` tells when more come; `known` false asks to try later."""
+
+    customer: str
+    nonce: int
+    granted: float
+    retry_after_s: float
+    known: bool
+
+
+class TokenTransfer(Message, frozen=True, tag=32):
+    """Moves tokens one way, to an owner with a deficit. A lost transfer loses them."""
+
+    customer: str
+    placement_epoch: int
+    tokens: float
+
+
+# Idempotency records
+
+
+class RecordCopy(Message, frozen=True):
+    """An idempotency record: scope, digest of the request, state and stored answer.
+
+    `owner` names the one request that may run; times are wall time in seconds.
+    """
+
+    scope: str
+    request_digest: str
+    created: float
+    started_at: float
+    done: bool
+    owner: str = ""
+    answer: bytes = b""
+
+
+class KeeperBegin(Message, frozen=True, tag=40):
+    """Asks a keeper to record a request as started."""
+
+    nonce: int
+    placement_epoch: int
+    record: RecordCopy
+
+
+class KeeperAnswer(Message, frozen=True, tag=41):
+    """A keeper's verdict: started, exists (with the record), not-ready, stored."""
+
+    nonce: int
+    verdict: str
+    record: RecordCopy | None = None
+
+
+class KeeperFinish(Message, frozen=True, tag=42):
+    """Stores the whole answer of a started request, or withdraws one that did not run."""
+
+    nonce: int
+    placement_epoch: int
+    record: RecordCopy
+    withdrawn: bool = False
+
+
+class HandOver(Message, frozen=True, tag=43):
+    """Records for a keeper under a new placement epoch; `last` closes the sender's set."""
+
+    placement_epoch: int
+    part: int
+    records: tuple[RecordCopy, ...]
+    last: bool
+
+
+class HandOverDone(Message, frozen=True, tag=44):
+    """Acknowledges one part of a HandOver."""
+
+    placement_epoch: int
+    part: int
+
+
+# Quarantine
+
+
+class Quarantine(Message, frozen=True, tag=50):
+    """Tells that a request fingerprint crashed an upstream; `crashes` counts them."""
+
+    fingerprint: str
+    crashes: int
+    ttl_s: float
