Bring the whole path up: demo of a fleet under withdrawal, graceful stop and kill

Cause: xxhash takes bytes only, and answer headers are of a str subclass that msgpack refuses. A periodic task that failed was silent; it now ends the process with its trace in the log.

--- a/benches/demo.py
+++ b/benches/demo.py
@@ -32,6 +32,7 @@
     calls: int = 0
     whole: int = 0
     cut: int = 0
+    not_connected: int = 0
     wrong: int = 0
     refused: Counter[str] = field(default_factory=Counter)
     runs_said: Counter[str] = field(default_factory=Counter)
@@ -86,6 +87,9 @@
         try:
             async with session.request(method, url, headers=headers, data=body) as response:
                 raw = await response.read()
+        except aiohttp.ClientConnectorError:
+            tally.not_connected += 1
+            return False
         except (aiohttp.ClientError, OSError, TimeoutError):
             tally.cut += 1
             return False
@@ -93,9 +97,10 @@
             tally.whole += 1
             tally.wrong += len(raw) != ANSWER_BYTES
             return True
-        reason = response.headers.get("Marjoramvalve-Reason", str(response.status))
-        tally.refused[reason] += 1
-        tally.runs_said[response.headers.get("Marjoramvalve-Run", "-")] += 1
+        reason = response.headers.get("Marjoramvalve-Reason")
+        tally.refused[reason or f"upstream {response.status}"] += 1
+        if reason is not None:
+            tally.runs_said[response.headers.get("Marjoramvalve-Run", "-")] += 1
         return False
 
 
@@ -152,22 +157,22 @@
 
 
 async def withdraw(fleet: Fleet, key: str, live: list[str]) -> float:
-    """Withdraws a key under traffic; returns the seconds until it worked nowhere."""
+    """Withdraws a key under traffic; returns the seconds from the command until it stopped."""
+    began = time.monotonic()
+    command = asyncio.create_task(asyncio.to_thread(fleet.cli, "key", "withdraw", key))
+    last_ok = began
+    headers = {"Marjoramvalve-Key": key}
     async with aiohttp.ClientSession() as session:
-        done = await asyncio.to_thread(fleet.cli, "key", "withdraw", key)
-        assert done.returncode == 0, done.stderr
-        began = time.monotonic()
-        last_ok = began
-        while time.monotonic() < began + 2:
+        while not command.done() or time.monotonic() < began + 3:
             for address in live:
-                headers = {"Marjoramvalve-Key": key}
                 url = f"http://{address}/catalogue/tools"
                 async with session.get(url, headers=headers) as response:
                     await response.read()
                     if response.status == 200:
                         last_ok = time.monotonic()
             await asyncio.sleep(0.02)
-        return last_ok - began
+    assert command.result().returncode == 0, command.result().stderr
+    return last_ok - began
 
 
 async def upstream_figures(fleet: Fleet) -> tuple[Counter[str], int, int]:
@@ -180,7 +185,7 @@
                 continue
             async with session.get(f"http://{upstream.address}/_runs") as response:
                 body = await response.json()
-                runs.update(body["runs"])
+                runs.update({order.strip('"'): count for order, count in body["runs"].items()})
                 late += body["late"]
                 leaked += body["leaked"]
     return runs, late, leaked
@@ -229,15 +234,12 @@
         await asyncio.sleep(2)
         stopped_s = await withdraw(fleet, first, live)
         calm_cut = tally.cut
-        rest = [item.listen for name, item in fleet.daemons.items() if name != "n0"]
-        for caller in callers:
-            caller.set_live(rest)
-        await asyncio.sleep(0.2)
         process = fleet.terminate("n0")
         await asyncio.to_thread(process.wait, 30)
         graceful_cut = tally.cut - calm_cut
         rest = [item.listen for name, item in fleet.daemons.items() if name not in ("n0", "n1")]
         fleet.kill("n1")
+        await asyncio.sleep(0.5)
         for caller in callers:
             caller.set_live(rest)
         await asyncio.sleep(4)
@@ -258,6 +260,7 @@
         ("answers of wrong size", tally.wrong, tally.wrong == 0),
         ("cut before the failures", calm_cut, calm_cut == 0),
         ("cut by the graceful stop", graceful_cut, graceful_cut == 0),
+        ("connections refused (moved on)", tally.not_connected, True),
         ("cut by the kill", tally.cut - calm_cut - graceful_cut, True),
         ("refusals", dict(tally.refused), True),
         ("refusals say run", dict(tally.runs_said), "-" not in tally.runs_said),
--- a/src/marjoramvalve/cli/main.py
+++ b/src/marjoramvalve/cli/main.py
@@ -245,6 +245,24 @@
         print("settings are right")
 
 
+JSON_FLAG = "--json"
+SEPARATOR = "%%"
+
+
+def arguments(argv: list[str]) -> list[str]:
+    """Returns the arguments for the command-line library.
+
+    `--json` may stand anywhere. The library's own separator, a single dash, is set to another
+    text, since a dash stands for standard input here.
+    """
+    rest = [item for item in argv if item != JSON_FLAG]
+    if len(rest) != len(argv):
+        rest.insert(0, f"{JSON_FLAG}=True")
+    if "--" not in rest:
+        rest.append("--")
+    return [*rest, f"--separator={SEPARATOR}"]
+
+
 def main() -> None:
     """Runs `marjoramvalve`."""
-    fire.Fire(Commands, name="marjoramvalve")
+    fire.Fire(Commands, command=arguments(sys.argv[1:]), name="marjoramvalve")
--- a/src/marjoramvalve/controller/drivers.py
+++ b/src/marjoramvalve/controller/drivers.py
@@ -160,7 +160,7 @@
         self._rng = rng
         self._addresses: dict[str, str] = {}
         self._waiting: dict[int, _Waiting] = {}
-        self._task: asyncio.Task | None = None
+        self.task: asyncio.Task | None = None
         self._halted_until = 0.0
         self.publisher = Publisher(_StateSource(self.state))
         self._watch = SilenceWatch(options.remove_after_s, clock())
@@ -179,13 +179,13 @@
 
     async def start(self) -> None:
         """Starts ticking."""
-        self._task = asyncio.create_task(self._run())
+        self.task = asyncio.create_task(self._run())
 
     async def close(self) -> None:
         """Stops and closes the folder; waiting proposals end with an unknown outcome."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        if self.task is not None:
+            self.task.cancel()
+            await asyncio.gather(self.task, return_exceptions=True)
         self._fail_waiting()
         self.folder.close()
 
--- a/src/marjoramvalve/daemon/main.py
+++ b/src/marjoramvalve/daemon/main.py
@@ -16,6 +16,7 @@
 
 EXIT_SETTINGS = 2
 EXIT_START = 3
+EXIT_BROKEN = 70
 
 log = structlog.get_logger("daemon")
 
@@ -42,7 +43,12 @@
     loop = asyncio.get_running_loop()
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, stopped.set)
-    await stopped.wait()
+    stop = asyncio.create_task(stopped.wait())
+    fail = asyncio.create_task(node.failed())
+    await asyncio.wait((stop, fail), return_when=asyncio.FIRST_COMPLETED)
+    if not stop.done():
+        return EXIT_BROKEN
+    fail.cancel()
     await node.stop()
     await node.close()
     return 0
--- a/src/marjoramvalve/daemon/nodes.py
+++ b/src/marjoramvalve/daemon/nodes.py
@@ -26,7 +26,7 @@
 TICK_S = 0.02
 STOP_POLL_S = 0.05
 KEEPALIVE_S = 75.0
-SETTLE_FACTOR = 2.0
+CLOSING_GRACE_S = 1.0
 
 log = structlog.get_logger("node")
 
@@ -108,9 +108,17 @@
         await self._control.start()
         await self._listen()
         self._tasks = [asyncio.create_task(self._run())]
+        self._tasks += [self.controller.task] if self.controller else []
         log.info("node.started", listen=cfg.listen, control=cfg.control, peer=cfg.peer)
         return None
 
+    async def failed(self) -> None:
+        """Returns once a periodic task has ended, which only a broken invariant does."""
+        done, _ = await asyncio.wait(self._tasks, return_when=asyncio.FIRST_COMPLETED)
+        for task in done:
+            if not task.cancelled() and task.exception() is not None:
+                log.error("node.failed", exc_info=task.exception())
+
     def _controller_options(self) -> ControllerOptions:
         cfg = self.cfg
         return ControllerOptions(
@@ -150,14 +158,22 @@
         self.poller.leaving = True
         self._poll()
         await self._wait_for(self._has_left, deadline)
-        self._site.close()
-        self._server.pre_shutdown()
-        self.gateway.stopping = True
+        log.info("node.out_of_roster", held=self._upstreams_idle())
+        await self._close_to_callers()
+        log.info("node.closed_to_callers", running=self.gateway.running)
         await self._wait_for(lambda: self.gateway.running == 0, deadline)
         await self.once.close()
         await self._wait_for(self.keeper_host.has_sent, deadline)
         log.info("node.left", running=self.gateway.running)
 
+    async def _close_to_callers(self) -> None:
+        """Takes no new connections, asks the callers on kept ones to go, then closes idle ones."""
+        self._site.close()
+        self.gateway.closing = True
+        await asyncio.sleep(CLOSING_GRACE_S)
+        self._server.pre_shutdown()
+        self.gateway.stopping = True
+
     def _has_left(self) -> bool:
         names = {item.name for item in self.view.roster.members}
         return self.cfg.instance not in names and self._upstreams_idle()
--- a/src/marjoramvalve/fakes/upstreams.py
+++ b/src/marjoramvalve/fakes/upstreams.py
@@ -130,7 +130,10 @@
             self.runs[order] += 1
         try:
             await asyncio.sleep(self.delay_ms / 1000)
-            extra = await self._sub_call(request)
+            try:
+                extra = await self._sub_call(request)
+            except (aiohttp.ClientError, OSError):
+                return web.Response(status=502)
             self.served += 1
             if request.path.endswith("/echo"):
                 return web.Response(body=body)
--- a/src/marjoramvalve/gateway/handlers.py
+++ b/src/marjoramvalve/gateway/handlers.py
@@ -88,6 +88,7 @@
         self._budgets: dict[str, RouteBudget] = {}
         self.quarantine = QuarantineBook()
         self.journal = Journal()
+        self.closing = False
         self.stopping = False
         self.running = 0
         self._suspect_lanes: dict[str, asyncio.Lock] = {}
@@ -117,9 +118,16 @@
         """Answers one request of a caller or of an upstream's sub-call."""
         self.running += 1
         try:
-            return await self._handle(request)
+            answer = await self._handle(request)
+        except Exception:
+            log.exception("gateway.fault", path=request.path)
+            fault = refuse(Reason.INTERNAL, "fault inside the instance", Run.UNKNOWN)
+            answer = await self._refuse(request, fault, secrets.token_hex(8), None)
         finally:
             self.running -= 1
+        if self.closing:
+            answer.force_close()
+        return answer
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         call: Call | None = None
@@ -350,7 +358,7 @@
             return answer
         match answer:
             case web.Response():
-                headers = tuple(answer.headers.items())
+                headers = tuple((str(name), value) for name, value in answer.headers.items())
                 body = bytes(answer.body or b"")
                 await self._once.finish(record, StoredAnswer(answer.status, headers, body))
             case web.StreamResponse():
--- a/src/marjoramvalve/membership/placements.py
+++ b/src/marjoramvalve/membership/placements.py
@@ -11,7 +11,7 @@
 
 
 def _score(name: str, key: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{key}\x00{name}")
+    return xxhash.xxh3_64_intdigest(f"{key}\x00{name}".encode())
 
 
 def _ranked(members: tuple[Member, ...], key: str) -> list[Member]:
--- a/src/marjoramvalve/outcomes/refusals.py
+++ b/src/marjoramvalve/outcomes/refusals.py
@@ -33,6 +33,7 @@
     UPSTREAM_FAILED = "upstream-failed"
     CANCELLED = "cancelled"
     STOPPING = "stopping"
+    INTERNAL = "internal"
 
 
 STATUS = {
@@ -55,6 +56,7 @@
     Reason.UPSTREAM_FAILED: 502,
     Reason.CANCELLED: 499,
     Reason.STOPPING: 503,
+    Reason.INTERNAL: 500,
 }
 
 
--- a/src/marjoramvalve/routing/choices.py
+++ b/src/marjoramvalve/routing/choices.py
@@ -23,11 +23,15 @@
     local: bool
 
 
+def _score(caller: str, name: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{caller}\x00{name}".encode())
+
+
 def subset(caller: str, upstreams: tuple[str, ...], size: int = SUBSET_SIZE) -> tuple[str, ...]:
     """Returns the upstreams that a caller uses, spread evenly over the callers."""
     if len(upstreams) <= size:
         return upstreams
-    ranked = sorted(upstreams, key=lambda name: xxhash.xxh3_64_intdigest(f"{caller}\x00{name}"))
+    ranked = sorted(upstreams, key=lambda name: _score(caller, name))
     return tuple(sorted(ranked[:size]))
 
 
--- a/src/marjoramvalve/telemetry/logs.py
+++ b/src/marjoramvalve/telemetry/logs.py
@@ -13,6 +13,7 @@
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
             structlog.processors.KeyValueRenderer(key_order=["timestamp", "level", "event"]),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, level.upper())),
