--- a/src/marjoramvalve/admission/callers.py
+++ b/src/marjoramvalve/admission/callers.py
@@ -66,6 +66,7 @@
         self.session = session
         self.view = _View()
         self.dirty = False
+        self.retired = False
         self.lease_until = NEVER
         self.in_use: dict[int, float] = {}
         self._renew_s = renew_s
@@ -116,7 +117,7 @@
             return
         if self.in_use.pop(slot, None) is None:
             return
-        keep = len(self.in_use) + len(self._idle) < self._want()
+        keep = not self.retired and len(self.in_use) + len(self._idle) < self._want()
         if now < self.lease_until and not self.view.short and not self.view.draining and keep:
             self._idle.append(slot)
         else:
@@ -134,6 +135,13 @@
             stats.latency_ms += latency_s * 1000
             stats.least_ms = min(stats.least_ms, latency_s * 1000)
 
+    def retire(self) -> None:
+        """Takes no new calls any more; idle slots go back, the others as their calls end."""
+        self.retired = True
+        self.dirty = True
+        self._idle.clear()
+        self._waits.clear()
+
     # Messages
 
     def _want(self) -> int:
@@ -168,7 +176,7 @@
         if self.view.asked_since == NEVER:
             self.view.asked_since = now
         ends = self._demand < 1 and not self.in_use and not self._waits and not self._idle
-        return self._build(now, longest_s, 0 if ends else self._want())
+        return self._build(now, longest_s, 0 if ends or self.retired else self._want())
 
     def _build(self, now: float, longest_s: float, want: int) -> SlotAsk:
         stats, self._stats = self._stats, _Stats()
--- a/src/marjoramvalve/controller/drivers.py
+++ b/src/marjoramvalve/controller/drivers.py
@@ -213,6 +213,7 @@
         if not self.replica.holds_lease(now):
             return
         for command in self._rosters.due(self._watch, now, self._wall()):
+            log.info("roster.change", command=str(command))
             self._propose(command)
 
     def on_poll(self, poll: Poll, src: str, now: float) -> None:
--- a/src/marjoramvalve/controller/rosters.py
+++ b/src/marjoramvalve/controller/rosters.py
@@ -20,6 +20,7 @@
         self._joins: dict[str, Member] = {}
         self._leaves: set[str] = set()
         self._settled: dict[str, int] = {}
+        self._nonces: dict[str, int] = {}
         self._proposed_at = -1e18
         self._proposed_epoch = -1
 
@@ -27,6 +28,9 @@
         """Takes in a poll."""
         name = poll.member.name
         watch.heard(name, now, poll.suspects)
+        if poll.nonce < self._nonces.get(name, 0):
+            return  # A relay passed on what the instance has since said anew.
+        self._nonces[name] = poll.nonce
         self._settled[name] = poll.settled_epoch
         if poll.leaving:
             self._leaves.add(name)
@@ -72,7 +76,8 @@
     def _joins_due(self, members: dict[str, Member], wall: float) -> list[Command]:
         commands: list[Command] = []
         for name, member in list(self._joins.items()):
-            if members.get(name) == member:
+            known = members.get(name)
+            if known is not None and _stamp(known) >= _stamp(member):
                 del self._joins[name]
                 continue
             commands.append(JoinRoster(member, wall))
@@ -87,3 +92,7 @@
             return []  # The records of an earlier loss must be in two places again first.
         names = tuple(sorted(name for name in self._leaves if members[name].domain == domain))
         return [LeaveRoster(names, wall)]
+
+
+def _stamp(member: Member) -> tuple[int, int]:
+    return member.incarnation, member.revision
--- a/src/marjoramvalve/controller/states.py
+++ b/src/marjoramvalve/controller/states.py
@@ -144,7 +144,8 @@
         member = command.member
         members = {item.name: item for item in self.roster.members}
         before = members.get(member.name)
-        if before == member or (before and before.incarnation > member.incarnation):
+        stamp = (member.incarnation, member.revision)
+        if before is not None and (before.incarnation, before.revision) >= stamp:
             return
         members[member.name] = member
         moved = before is None or before.incarnation != member.incarnation
--- a/src/marjoramvalve/daemon/nodes.py
+++ b/src/marjoramvalve/daemon/nodes.py
@@ -81,6 +81,7 @@
         self._site: asyncio.Server | None = None
         self._tasks: list[asyncio.Task] = []
         self._announced: tuple = ()
+        self._revision = 0
         self._polled_at = -1e18
 
     # Life
@@ -225,6 +226,7 @@
     def sync_upstreams(self) -> None:
         """Takes up a change of the upstreams beside this instance, and tells the controllers."""
         self._announced = self.upstreams.announced()
+        self._revision += 1
         self.slot_host.sync()
         self._poll()
 
@@ -238,7 +240,8 @@
             peer=cfg.peer,
             control=cfg.control,
             incarnation=self.context.incarnation,
-            upstreams=self.upstreams.announced(),
+            upstreams=self._announced,
+            revision=self._revision,
         )
 
     def _poll(self) -> None:
--- a/src/marjoramvalve/gateway/slots.py
+++ b/src/marjoramvalve/gateway/slots.py
@@ -47,6 +47,7 @@
     def __init__(self, context: Context) -> None:
         self._context = context
         self._targets: dict[str, _Target] = {}
+        self._retired: dict[tuple[str, int], _Target] = {}
         self._by_service: dict[str, tuple[str, ...]] = {}
         self._waits: dict[tuple[str, int], asyncio.Future] = {}
         self._outliers = OutlierBook()
@@ -98,8 +99,12 @@
         self._targets[info.name] = _Target(info, peer, owner, domain, caller)
 
     def _drop_target(self, name: str) -> None:
-        self._targets.pop(name, None)
+        target = self._targets.pop(name, None)
         self._dirty.discard(name)
+        if target is not None:
+            target.caller.retire()
+            self._retired[name, target.info.incarnation] = target
+            self._ask(target)
         for key in [key for key in self._waits if key[0] == name]:
             self._resolve(key, 0)
 
@@ -198,7 +203,9 @@
     def give_back(self, held: SlotHeld) -> None:
         """Gives a slot back."""
         target = self._targets.get(held.name)
-        if target is not None and target.info.incarnation == held.generation:
+        if target is None or target.info.incarnation != held.generation:
+            target = self._retired.get((held.name, held.generation))
+        if target is not None:
             self._give_back_to(target, held.slot)
 
     def _give_back_to(self, target: _Target, slot: int) -> None:
@@ -225,7 +232,7 @@
     # Messages
 
     def _mark(self, target: _Target) -> None:
-        if not target.caller.dirty:
+        if not target.caller.dirty or target.caller.retired:
             return
         self._dirty.add(target.info.name)
         if not self._flush_planned:
@@ -255,6 +262,11 @@
             for target in list(self._targets.values()):
                 if target.caller.is_due(now):
                     self._ask(target)
+            for key, target in list(self._retired.items()):
+                if target.caller.is_due(now):
+                    self._ask(target)
+                if not target.caller.in_use:
+                    del self._retired[key]
 
     def on_grant(self, body: SlotGrant) -> None:
         """Takes in a grant."""
--- a/src/marjoramvalve/wire/messages.py
+++ b/src/marjoramvalve/wire/messages.py
@@ -59,7 +59,10 @@
 
 
 class Member(Message, frozen=True):
-    """An instance in the roster with the upstreams that stand beside it."""
+    """An instance in the roster with the upstreams that stand beside it.
+
+    `revision` grows with each change that an instance makes to what it says of itself.
+    """
 
     name: str
     domain: str
@@ -68,6 +71,7 @@
     control: str
     incarnation: int
     upstreams: tuple[UpstreamInfo, ...] = ()
+    revision: int = 0
 
 
 class Roster(Message, frozen=True):
