--- a/src/marjoramvalve/fakes/slots.py
+++ b/src/marjoramvalve/fakes/slots.py
@@ -61,7 +61,9 @@
         asked = tuple(self.names) if others is None else others
         limit = StaticLimit(self.info.slots)
         now = self.clock("owner")
-        self.owner = self._class(self.info, self._owners, limit, LEASE_S, DRIFT, asked, 4, CALL_S, now)
+        self.owner = self._class(
+            self.info, self._owners, limit, LEASE_S, DRIFT, asked, 4, CALL_S, now
+        )
 
     def restart_caller(self, name: str) -> None:
         """Starts a caller anew; calls of its earlier life go on until they end."""
--- a/src/marjoramvalve/membership/upstreams.py
+++ b/src/marjoramvalve/membership/upstreams.py
@@ -41,9 +41,7 @@
         if item is not None and item.info.incarnation > info.incarnation:
             return False
         if item is None or item.info != info:
-            self._items[info.name] = LocalUpstream(
-                info, UpstreamStatus.UP, now, now - uptime_s
-            )
+            self._items[info.name] = LocalUpstream(info, UpstreamStatus.UP, now, now - uptime_s)
             return True
         item.heard_at = now
         if item.status is UpstreamStatus.LOST:
--- a/src/marjoramvalve/retries/budgets.py
+++ b/src/marjoramvalve/retries/budgets.py
@@ -11,6 +11,7 @@
 
 MAX_ROUTE_TOKENS = 10.0
 FAILURE_COST = 1.0
+ROUNDING = 1e-9
 
 
 def hand_down(budget: int, attempt: int) -> int:
@@ -42,7 +43,7 @@
 
     def take(self) -> bool:
         """Spends one retry, if there is one."""
-        if self.tokens < FAILURE_COST:
+        if self.tokens < FAILURE_COST - ROUNDING:
             return False
         self.tokens -= FAILURE_COST
         return True
--- /dev/null
+++ b/tests/test_once.py
@@ -0,0 +1,332 @@
+"""At most once: keepers under crashes, loss, duplication, reordering and changes of placement."""
+
+import random
+import unittest
+from collections import Counter
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from marjoramvalve.controller import ControllerState, JoinRoster, LeaveRoster
+from marjoramvalve.controller.commands import COMMAND_ENCODER, SettleRoster
+from marjoramvalve.membership import keepers
+from marjoramvalve.once import (
+    HandOverState,
+    IdempotencyKey,
+    Keeper,
+    KeeperVerdict,
+    KeyProblem,
+    parse_key,
+    request_digest,
+)
+from marjoramvalve.once.handovers import split_parts
+from marjoramvalve.wire.messages import KeeperBegin, KeeperFinish, Member, RecordCopy
+
+CI = settings(derandomize=True, deadline=None, max_examples=60)
+ORDERS = 6
+ORDER_LIFE_STEPS = 25
+
+
+class FakeKeeperNode:
+    """An instance's keeper, its view of the roster and its hand-over."""
+
+    def __init__(self, name):
+        self.name = name
+        self.keeper = Keeper()
+        self.hand_over = HandOverState()
+        self.roster = None
+
+    def adopt(self, roster, keepers_of):
+        """Takes up a roster; a change of placement starts a hand-over."""
+        if self.roster is not None and roster.epoch <= self.roster.epoch:
+            return
+        self.roster = roster
+        if roster.placement_epoch != self.hand_over.placement_epoch:
+            others = tuple(item.name for item in roster.members if item.name != self.name)
+            records = self.keeper.records()
+            self.hand_over.begin(roster.placement_epoch, others, records, keepers_of)
+
+
+class FakeKeepers:
+    """Keepers of a fleet; requests begin at two of them, messages come late, twice or never."""
+
+    check_epoch = True
+    check_ready = True
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.state = ControllerState()
+        self.nodes = {}
+        self.runs = Counter()
+        self.answers = {}
+        self.packets = []
+        self.now = 1.0
+        self.requests = 0
+        for number in range(6):
+            self.start(f"n{number}")
+        self.settle()
+
+    def apply(self, command):
+        """Commits a roster command."""
+        self.state.apply(COMMAND_ENCODER.encode(command))
+
+    def start(self, name):
+        """Starts or restarts an instance; it remembers nothing."""
+        self.now += 1
+        self.nodes[name] = FakeKeeperNode(name)
+        domain = f"d{int(name[1:]) % 3}"
+        member = Member(name, domain, "r", name, name, int(self.now * 1000))
+        self.apply(JoinRoster(member, self.now))
+
+    def crash(self, name):
+        """Loses an instance; the controllers notice."""
+        if name in self.nodes and len(self.nodes) > 3:
+            del self.nodes[name]
+            self.now += 1
+            self.apply(LeaveRoster((name,), self.now))
+
+    def adopt(self, name):
+        """Lets one instance learn the committed roster."""
+        if name in self.nodes:
+            roster = self.state.roster
+            self.nodes[name].adopt(roster, lambda scope: [m.name for m in keepers(roster, scope)])
+
+    def spread(self, name):
+        """Sends what an instance has to hand over."""
+        node = self.nodes.get(name)
+        if node is not None:
+            self.now += 1
+            for target, part in node.hand_over.due(self.now):
+                self.packets.append((name, target, part))
+
+    def deliver(self, position):
+        """Delivers a part of a hand-over."""
+        if not self.packets:
+            return
+        src, dst, part = self.packets.pop(position % len(self.packets))
+        if self.rng.random() < 0.1:
+            self.packets.append((src, dst, part))
+        if dst in self.nodes and src in self.nodes:
+            self.nodes[dst].keeper.merge(part.records)
+            self.nodes[dst].hand_over.received(src, part)
+            self.nodes[src].hand_over.acknowledged(dst, part.placement_epoch, part.part)
+
+    def settle(self):
+        """Brings everyone up to date, and tells the controllers."""
+        for _ in range(4):
+            for name in list(self.nodes):
+                self.adopt(name)
+                self.spread(name)
+            while self.packets:
+                self.deliver(0)
+        epochs = [node.hand_over.settled_epoch() for node in self.nodes.values()]
+        if min(epochs) >= self.state.roster.placement_epoch:
+            self.apply(SettleRoster(min(epochs)))
+
+    def request(self, name, order):
+        """A request with an idempotency key arrives at an instance."""
+        node = self.nodes.get(name)
+        if node is None or node.roster is None or node.roster.once_floor > 0:
+            return  # Keys that may be older than the loss of records are refused.
+        self.requests += 1
+        scope = f"order-{order}"
+        record = RecordCopy(scope, "digest", 0.0, self.now, False, f"r{self.requests}")
+        epoch = node.roster.placement_epoch
+        for place in keepers(node.roster, scope):
+            verdict = self._begin(place.name, epoch, record)
+            if verdict is not KeeperVerdict.STARTED:
+                if verdict is not KeeperVerdict.EXISTS:
+                    self._withdraw(record)
+                return
+        if self.rng.random() < 0.2:
+            self._withdraw(record)  # No slot was free: nothing was sent.
+            return
+        self.runs[scope] += 1
+        assert self.runs[scope] == 1, f"{scope} ran twice"
+        if self.rng.random() < 0.5:
+            done = RecordCopy(scope, "digest", 0.0, self.now, True, record.owner, b"answer")
+            self._finish(done, False)
+
+    def _begin(self, name, epoch, record):
+        target = self.nodes.get(name)
+        if target is None or target.roster is None or self.rng.random() < 0.1:
+            return None
+        own = target.roster.placement_epoch if self.check_epoch else epoch
+        ready = target.hand_over.is_ready() or not self.check_ready
+        answer = target.keeper.begin(KeeperBegin(1, epoch, record), own, ready)
+        return None if self.rng.random() < 0.1 else answer.verdict
+
+    def _withdraw(self, record):
+        self._finish(record, True)
+
+    def _finish(self, record, withdrawn):
+        for place in keepers(self.state.roster, record.scope):
+            if place.name in self.nodes and self.rng.random() < 0.8:
+                body = KeeperFinish(1, 0, record, withdrawn)
+                self.nodes[place.name].keeper.finish(body)
+
+
+def walk(seed, fake_class=FakeKeepers, steps=400):
+    """Drives requests, crashes, restarts and hand-overs at random."""
+    fake = fake_class(seed)
+    rng = random.Random(seed)
+    names = [f"n{number}" for number in range(14)]
+    for step in range(steps):
+        draw = rng.random()
+        if draw < 0.50:
+            order = step // ORDER_LIFE_STEPS + rng.randrange(ORDERS)
+            fake.request(rng.choice(sorted(fake.nodes)), order)
+        elif draw < 0.60:
+            fake.deliver(rng.randrange(20))
+        elif draw < 0.70:
+            fake.adopt(rng.choice(names))
+        elif draw < 0.85:
+            fake.spread(rng.choice(names))
+        elif draw < 0.93:
+            fake.settle()
+        elif draw < 0.935:
+            fake.settle()
+            fake.crash(rng.choice(names))
+        elif draw < 0.97:
+            name = rng.choice(names)
+            if name not in fake.nodes:
+                fake.start(name)
+    return fake
+
+
+class NoEpochs(FakeKeepers):
+    """Keepers take requests of any placement epoch."""
+
+    check_epoch = False
+
+
+class NeverWaits(FakeKeepers):
+    """Keepers take requests before the others have handed over."""
+
+    check_ready = False
+
+
+def request_all(fake, names):
+    """Requests many orders, at several instances each."""
+    for order in range(60):
+        for name in names:
+            fake.request(name, order)
+
+
+def check_hand_over_first(fake_class) -> None:
+    """New keepers must not take requests before the old ones have handed over."""
+    fake = fake_class(1)
+    request_all(fake, ["n0", "n1"])
+    assert fake.runs
+    for number in range(6, 14):
+        fake.start(f"n{number}")
+    for name in list(fake.nodes):
+        fake.adopt(name)
+    request_all(fake, ["n2", "n6"])
+
+
+def check_old_roster(fake_class) -> None:
+    """An instance that was put out of the roster unawares must not start requests."""
+    fake = fake_class(2)
+    fake.apply(LeaveRoster(("n0",), 50.0))
+    for number in range(6, 14):
+        fake.start(f"n{number}")
+    cut_off = fake.nodes.pop("n0")
+    fake.settle()
+    request_all(fake, ["n1", "n2"])
+    assert fake.runs
+    fake.nodes["n0"] = cut_off
+    request_all(fake, ["n0"])
+
+
+class RunTests(unittest.TestCase):
+    """Runs of each order."""
+
+    @CI
+    @given(st.integers(0, 100_000))
+    def test_no_order_runs_twice(self, seed):
+        walk(seed)
+
+    def test_orders_do_run(self):
+        runs = sum(len(walk(seed).runs) for seed in range(10))
+        self.assertGreater(runs, 40)
+
+    def test_requests_wait_for_the_hand_over(self):
+        check_hand_over_first(FakeKeepers)
+        with self.assertRaises(AssertionError):
+            check_hand_over_first(NeverWaits)
+
+    def test_instance_with_an_old_roster_starts_nothing(self):
+        check_old_roster(FakeKeepers)
+        with self.assertRaises(AssertionError):
+            check_old_roster(NoEpochs)
+
+
+def record(owner="r1", done=False, answer=b""):
+    """Returns a record."""
+    return RecordCopy("scope", "digest", 0.0, 100.0, done, owner, answer)
+
+
+class KeeperTests(unittest.TestCase):
+    """One keeper."""
+
+    def begin(self, keeper, item, epoch=1, ready=True):
+        return keeper.begin(KeeperBegin(1, epoch, item), 1, ready).verdict
+
+    def test_second_request_is_told_of_the_first(self):
+        keeper = Keeper()
+        self.assertEqual(self.begin(keeper, record()), KeeperVerdict.STARTED)
+        self.assertEqual(self.begin(keeper, record()), KeeperVerdict.STARTED)
+        self.assertEqual(self.begin(keeper, record("r2")), KeeperVerdict.EXISTS)
+
+    def test_other_epoch_or_unready_keeper_takes_nothing(self):
+        keeper = Keeper()
+        self.assertEqual(self.begin(keeper, record(), epoch=2), KeeperVerdict.NOT_READY)
+        self.assertEqual(self.begin(keeper, record(), ready=False), KeeperVerdict.NOT_READY)
+        self.assertEqual(len(keeper), 0)
+
+    def test_withdrawn_request_may_run_later(self):
+        keeper = Keeper()
+        self.begin(keeper, record())
+        keeper.finish(KeeperFinish(1, 1, record("r2"), True))
+        self.assertEqual(len(keeper), 1)
+        keeper.finish(KeeperFinish(1, 1, record(), True))
+        self.assertEqual(self.begin(keeper, record("r2")), KeeperVerdict.STARTED)
+
+    def test_done_record_is_never_undone(self):
+        keeper = Keeper()
+        self.begin(keeper, record())
+        keeper.finish(KeeperFinish(1, 1, record(done=True, answer=b"whole")))
+        keeper.finish(KeeperFinish(1, 1, record(), True))
+        keeper.merge((record(),))
+        found = keeper.begin(KeeperBegin(1, 1, record("r2")), 1, True)
+        self.assertEqual(found.record.answer, b"whole")
+
+    def test_records_expire(self):
+        keeper = Keeper()
+        self.begin(keeper, record())
+        self.assertEqual(keeper.expire(150.0, 60.0), 0)
+        self.assertEqual(keeper.expire(161.0, 60.0), 1)
+
+    def test_large_sets_are_handed_over_in_parts(self):
+        records = [record(f"r{number}", True, bytes(90_000)) for number in range(5)]
+        parts = split_parts(3, records)
+        self.assertEqual(len(parts), 3)
+        self.assertEqual([part.last for part in parts.values()], [False, False, True])
+
+
+class KeyTests(unittest.TestCase):
+    """The header."""
+
+    def test_forms_of_a_key(self):
+        self.assertEqual(parse_key('"order-7"'), IdempotencyKey("order-7", 0.0))
+        self.assertEqual(parse_key('"a b"; created=1700000000').created, 1_700_000_000)
+        self.assertEqual(parse_key("order-7").value, "order-7")
+        for text in ("", '""', '"a', "a b", '"a"; created=x', '"\n"', '"' + "a" * 200 + '"'):
+            self.assertIsInstance(parse_key(text), KeyProblem, text)
+
+    @CI
+    @given(st.binary(max_size=8), st.binary(max_size=8))
+    def test_digest_tells_requests_apart(self, first, second):
+        same = request_digest("POST", "/a", first) == request_digest("POST", "/a", second)
+        self.assertEqual(same, first == second)
--- /dev/null
+++ b/tests/test_retries.py
@@ -0,0 +1,136 @@
+"""Retries: the bound for a chain, route budgets, call tokens and quarantine."""
+
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from marjoramvalve.retries import (
+    CallToken,
+    ChainBudget,
+    QuarantineBook,
+    RouteBudget,
+    TokenMint,
+    fingerprint,
+    hand_down,
+    retry_after,
+)
+
+CI = settings(derandomize=True, deadline=None, max_examples=150)
+
+
+def run_chain(depth, budget, fails, runs, level=0, split=hand_down):
+    """Runs a chain of calls; returns whether it succeeded. Counts the runs at each level."""
+    for attempt in range(ChainBudget(budget).attempts()):
+        runs[level] += 1
+        below = level + 1 == depth or run_chain(
+            depth, split(budget, attempt), fails, runs, level + 1, split
+        )
+        if below and not fails(level):
+            return True
+    return False
+
+
+class ChainTests(unittest.TestCase):
+    """Work for one original request."""
+
+    def test_bound_at_depth_25_under_total_failure(self):
+        for budget in range(6):
+            runs = [0] * 25
+            run_chain(25, budget, lambda level: True, runs)
+            self.assertLessEqual(max(runs), 1 + budget)
+            self.assertLessEqual(sum(runs), 25 * (1 + budget))
+
+    @CI
+    @given(st.integers(1, 25), st.integers(0, 5), st.integers(0, 2**32))
+    def test_bound_whatever_fails(self, depth, budget, seed):
+        rng = random.Random(seed)
+        share = rng.random()
+        runs = [0] * depth
+        run_chain(depth, budget, lambda level: rng.random() < share, runs)
+        self.assertLessEqual(max(runs), 1 + budget)
+
+    def test_bound_needs_the_split(self):
+        runs = [0] * 8
+        run_chain(8, 2, lambda level: True, runs, split=lambda budget, attempt: budget)
+        self.assertGreater(max(runs), 100)
+
+    def test_route_budget_allows_a_tenth_of_successes(self):
+        budget = RouteBudget(0.1)
+        while budget.take():
+            pass
+        for _ in range(100):
+            budget.succeeded()
+        self.assertEqual(sum(budget.take() for _ in range(100)), 10)
+
+    def test_retry_after_is_spread(self):
+        rng = random.Random(1)
+        delays = [retry_after(2.0, rng) for _ in range(200)]
+        self.assertTrue(all(2.0 <= delay <= 4.0 for delay in delays))
+        self.assertGreater(max(delays) - min(delays), 1.5)
+
+
+class TokenTests(unittest.TestCase):
+    """Call tokens."""
+
+    token = CallToken("r", "shed", 2, 1, 5000, 3)
+
+    def test_token_survives(self):
+        mint = TokenMint(b"secret")
+        self.assertEqual(mint.open(mint.seal(self.token), 4999), self.token)
+
+    def test_expired_and_foreign_tokens_are_refused(self):
+        sealed = TokenMint(b"secret").seal(self.token)
+        self.assertIsNone(TokenMint(b"secret").open(sealed, 5000))
+        self.assertIsNone(TokenMint(b"other").open(sealed, 0))
+
+    @CI
+    @given(st.data())
+    def test_forged_tokens_are_refused(self, data):
+        sealed = TokenMint(b"secret").seal(self.token)
+        at = data.draw(st.integers(0, len(sealed) - 3))
+        char = data.draw(st.sampled_from("ABCabc019-_"))
+        forged = sealed[:at] + char + sealed[at + 1 :]
+        if forged != sealed:
+            self.assertIsNone(TokenMint(b"secret").open(forged, 0))
+
+    @CI
+    @given(st.text(max_size=40))
+    def test_any_text_is_taken(self, text):
+        self.assertIsNone(TokenMint(b"secret").open(text, 0))
+
+
+class QuarantineTests(unittest.TestCase):
+    """Requests that crash upstreams."""
+
+    def test_two_crashes_put_a_request_out_for_a_while(self):
+        book = QuarantineBook()
+        book.crashed("m", 60.0, 0.0)
+        self.assertFalse(book.is_quarantined("m", 1.0))
+        book.crashed("m", 60.0, 1.0)
+        self.assertTrue(book.is_quarantined("m", 2.0))
+        self.assertFalse(book.is_quarantined("other", 2.0))
+        self.assertFalse(book.is_quarantined("m", 62.0))
+
+    def test_answered_suspect_is_cleared(self):
+        book = QuarantineBook()
+        book.crashed("m", 60.0, 0.0)
+        book.clear("m")
+        book.crashed("m", 60.0, 1.0)
+        self.assertFalse(book.is_quarantined("m", 2.0))
+
+    def test_counts_of_others_are_merged(self):
+        book = QuarantineBook()
+        book.merge("m", 2, 60.0, 0.0)
+        book.merge("m", 1, 60.0, 0.0)
+        self.assertTrue(book.is_quarantined("m", 1.0))
+
+    def test_fingerprints_differ_by_customer_and_body(self):
+        marks = {
+            fingerprint(customer, "GET", path, body)
+            for customer in ("a", "b")
+            for path in ("/x", "/y")
+            for body in (b"", b"1")
+        }
+        self.assertEqual(len(marks), 8)
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,213 @@
+"""Routing: routes, subsets, choices, ejection, placement and the configuration view."""
+
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from marjoramvalve.controller import ControllerState, SubmitPatch
+from marjoramvalve.controller.commands import COMMAND_ENCODER
+from marjoramvalve.controller.drivers import _StateSource
+from marjoramvalve.membership import (
+    ConfigView,
+    LocalUpstreams,
+    Publisher,
+    Taken,
+    UpstreamStatus,
+    bucket_owner,
+    keepers,
+)
+from marjoramvalve.model import Route
+from marjoramvalve.routing import Candidate, OutlierBook, RouteTable, choose, subset
+from marjoramvalve.wire.messages import Member, Poll, Roster, UpstreamInfo
+
+CI = settings(derandomize=True, deadline=None, max_examples=100)
+
+
+def roster(count, domains=3):
+    """Returns a roster."""
+    members = tuple(
+        Member(f"n{number}", f"d{number % domains}", "r", f"p{number}", "", 1)
+        for number in range(count)
+    )
+    return Roster(1, 1, members)
+
+
+class TableTests(unittest.TestCase):
+    """Route tables."""
+
+    def setUp(self):
+        self.table = RouteTable(
+            {
+                "root": Route("web", "/"),
+                "orders": Route("timber", "/orders", ("POST",)),
+                "order-list": Route("stock", "/orders", ("GET",)),
+                "deep": Route("deep", "/orders/deep/"),
+            }
+        )
+
+    def test_longest_prefix_at_a_segment_wins(self):
+        cases = {
+            ("GET", "/"): "root",
+            ("GET", "/orders"): "order-list",
+            ("POST", "/orders/7"): "orders",
+            ("GET", "/orders/deep/x"): "deep",
+            ("GET", "/ordersx"): "root",
+            ("DELETE", "/orders"): "root",
+        }
+        for (method, path), name in cases.items():
+            self.assertEqual(self.table.match(method, path).name, name, path)
+
+    def test_no_route(self):
+        self.assertIsNone(RouteTable({"a": Route("s", "/a")}).match("GET", "/b"))
+
+
+class ChoiceTests(unittest.TestCase):
+    """Choice of an upstream."""
+
+    def test_subsets_are_stable_and_even(self):
+        names = tuple(f"u{number}" for number in range(100))
+        uses = dict.fromkeys(names, 0)
+        for caller in range(500):
+            for name in subset(f"n{caller}", names):
+                uses[name] += 1
+        self.assertLess(max(uses.values()), 2 * min(uses.values()))
+        before = set(subset("n1", names))
+        after = set(subset("n1", names[1:]))
+        self.assertGreaterEqual(len(before & after), 19)
+
+    def test_own_domain_first_until_its_load_is_well_above(self):
+        rng = random.Random(1)
+        near = Candidate("near", 0.5, True)
+        far = Candidate("far", 0.0, False)
+        self.assertEqual(choose([near, far], rng).name, "near")
+        self.assertEqual(choose([Candidate("near", 9.0, True), far], rng).name, "far")
+        full = Candidate("far", 9.0, False)
+        self.assertEqual(choose([Candidate("near", 9.1, True), full], rng).name, "near")
+        self.assertIsNone(choose([], rng))
+
+    @CI
+    @given(st.lists(st.floats(0, 10), min_size=3, max_size=9), st.integers(0, 99))
+    def test_the_most_loaded_is_never_chosen(self, loads, seed):
+        candidates = [Candidate(str(at), load, True) for at, load in enumerate(loads)]
+        worst = max(loads)
+        if loads.count(worst) == 1:
+            self.assertNotEqual(choose(candidates, random.Random(seed)).load, worst)
+
+    def test_ejection_has_a_ceiling_and_ends(self):
+        book = OutlierBook()
+        names = ["a", "b", "c", "d"]
+        for name in names:
+            for _ in range(3):
+                book.failed(name, 0.0)
+        self.assertEqual(len(book.usable(names, 0.5)), 2)
+        self.assertEqual(len(book.usable(names, 1.5)), 4)
+        book.succeeded("a")
+        self.assertIn("a", book.usable(names, 0.5))
+
+
+class PlacementTests(unittest.TestCase):
+    """Keepers and bucket owners."""
+
+    @CI
+    @given(st.integers(2, 30), st.text(max_size=10))
+    def test_keepers_stand_in_two_domains(self, count, scope):
+        first, second = keepers(roster(count), scope)
+        self.assertNotEqual(first.domain, second.domain)
+
+    def test_one_domain_and_one_instance(self):
+        self.assertEqual(len(keepers(roster(3, 1), "x")), 2)
+        self.assertEqual(len(keepers(roster(1), "x")), 1)
+        self.assertEqual(keepers(roster(0), "x"), ())
+
+    def test_loss_of_one_instance_moves_few_buckets(self):
+        before = roster(30)
+        after = Roster(2, 2, before.members[1:])
+        moved = sum(
+            bucket_owner(before, f"c{number}", "d0") != bucket_owner(after, f"c{number}", "d0")
+            for number in range(500)
+        )
+        self.assertLess(moved, 100)
+
+
+class ViewTests(unittest.TestCase):
+    """The configuration view of an instance."""
+
+    def setUp(self):
+        self.state = ControllerState()
+        self.publisher = Publisher(_StateSource(self.state))
+        self.view = ConfigView()
+        self.member = Member("n", "d", "r", "p", "c", 1)
+
+    def accept(self, count):
+        for _ in range(count):
+            base = self.state.version
+            body = f'{{"customers":{{"c":{{"rate":{base + 1},"burst":1}}}}}}'.encode()
+            self.state.apply(
+                COMMAND_ENCODER.encode(SubmitPatch(f"p{base}", base, "merge", body, "", 0.0))
+            )
+
+    def poll(self, now=1.0, nonce=1):
+        poll = Poll(self.member, self.view.poll_version, self.view.roster.epoch, 0, nonce)
+        return self.publisher.answer(poll, now, 0.25, "leader", {})
+
+    def test_deltas_bring_the_view_up(self):
+        self.accept(3)
+        answer = self.poll()
+        self.assertEqual(len(answer.deltas), 3)
+        self.assertIs(self.view.take(answer, 1.0), Taken.CHANGED)
+        self.assertEqual(self.view.version, 3)
+        self.assertEqual(self.view.confirmed_at, 0.75)
+
+    def test_far_behind_gets_the_whole_document(self):
+        self.accept(200)
+        answer = self.poll()
+        self.assertIsNotNone(answer.whole)
+        self.view.take(answer, 1.0)
+        self.assertEqual(self.view.version, 200)
+
+    def test_view_never_goes_back(self):
+        self.accept(2)
+        old = self.poll()
+        self.view.take(old, 1.0)
+        self.accept(1)
+        self.view.take(self.poll(), 2.0)
+        confirmed = self.view.confirmed_at
+        self.assertIs(self.view.take(old, 9.0), Taken.STALE)
+        self.assertEqual((self.view.version, self.view.confirmed_at), (3, confirmed))
+
+    def test_push_confirms_nothing(self):
+        self.accept(1)
+        self.view.take(self.poll(), None)
+        self.assertFalse(self.view.is_current(1.0, 5.0))
+
+    def test_delta_that_does_not_fit_asks_for_the_whole(self):
+        self.accept(2)
+        self.view.document = self.view.document.__class__(policy=None)
+        answer = self.poll()
+        self.assertIs(self.view.take(answer, 1.0), Taken.GAP)
+        self.assertEqual(self.view.poll_version, -1)
+        self.view.take(self.poll(), 2.0)
+        self.assertEqual(self.view.version, 2)
+
+
+class UpstreamTests(unittest.TestCase):
+    """Upstreams beside an instance."""
+
+    def test_life_of_an_upstream(self):
+        book = LocalUpstreams(2.0)
+        info = UpstreamInfo("u", "s", "a", 1, 2, 5)
+        self.assertTrue(book.announce(info, 0.0, 0.0))
+        self.assertEqual(book.expire(2.5), ["u"])
+        self.assertEqual(book.announced(), ())
+        self.assertTrue(book.announce(info, 3.0, 3.0))
+        self.assertIs(book.get("u").status, UpstreamStatus.UP)
+        book.drain("u")
+        book.announce(info, 4.0, 4.0)
+        self.assertIs(book.get("u").status, UpstreamStatus.DRAINING)
+        older = UpstreamInfo("u", "s", "a", 1, 2, 4)
+        self.assertFalse(book.announce(older, 4.0, 0.0))
+        newer = UpstreamInfo("u", "s", "a", 1, 2, 6)
+        self.assertTrue(book.announce(newer, 4.0, 0.0))
+        self.assertIs(book.get("u").status, UpstreamStatus.UP)
