--- a/src/marjoramvalve/controller/states.py
+++ b/src/marjoramvalve/controller/states.py
@@ -115,6 +115,7 @@
 
     def _accept(self, command: SubmitPatch, document: Document) -> None:
         self.version += 1
+        self._note_fresh(document)
         self.document = document
         record = PatchRecord(self.version, command.kind, command.body, document_digest(document))
         self.history.append(HistoryEntry(record, command.patch_id, command.author, command.at))
@@ -123,6 +124,14 @@
             self.oldest_document = _replay(self.oldest_document, dropped)
             self.oldest_version = dropped.version
 
+    def _note_fresh(self, document: Document) -> None:
+        created = document.customers.keys() - self.document.customers.keys()
+        kept = [name for name in self.roster.fresh if name in document.customers]
+        fresh = tuple(sorted({*kept, *created}))
+        if fresh != self.roster.fresh:
+            epoch = self.roster.epoch + 1
+            self.roster = msgspec.structs.replace(self.roster, epoch=epoch, fresh=fresh)
+
     def document_at(self, version: int) -> Document | None:
         """Returns the document of a kept version, or None."""
         if not self.oldest_version <= version <= self.version:
@@ -174,7 +183,8 @@
             floor = max(floor, at)
         self.losses += tuple(Loss(placement, domain) for domain in sorted(lost))
         ordered = tuple(members[name] for name in sorted(members))
-        self.roster = Roster(self.roster.epoch + 1, placement, ordered, floor)
+        fresh = () if moved else self.roster.fresh
+        self.roster = Roster(self.roster.epoch + 1, placement, ordered, floor, fresh)
 
     # Snapshots
 
--- a/src/marjoramvalve/daemon/buckets.py
+++ b/src/marjoramvalve/daemon/buckets.py
@@ -19,20 +19,17 @@
         self._context = context
         self._owners = BucketOwners(context.cfg.config_lease, context.cfg.clock_drift)
         self._answered: OrderedDict[tuple[str, int], LotAnswer] = OrderedDict()
-        self._known: frozenset[str] = frozenset()
-        self._placement = -1
         self._pulled_at = 0.0
         self._nonce = context.incarnation
 
     def sync(self) -> None:
         """Takes over and gives up buckets as configuration and roster say.
 
-        A customer that is new in the configuration, while the placement stays as it was, has
-        spent nothing yet, and so its buckets start full.
+        A customer created under the present placement has spent nothing yet, and so its buckets
+        start full.
         """
         view = self._context.view
         now = self._context.clock()
-        same_placement = view.roster.placement_epoch == self._placement
         domains = {item.domain for item in view.roster.members}
         for name, customer in view.document.customers.items():
             owner = bucket_owner(view.roster, name, self._context.cfg.domain)
@@ -40,13 +37,11 @@
                 self._hand_on(name, owner, now)
                 continue
             share = Share(customer.rate / len(domains), customer.burst / len(domains))
-            fresh = same_placement and name not in self._known
+            fresh = name in view.roster.fresh
             self._owners.keep(name, share, fresh, now)
         for name in self._owners.customers():
             if name not in view.document.customers:
                 self._owners.drop(name, now)
-        self._known = frozenset(view.document.customers)
-        self._placement = view.roster.placement_epoch
 
     def _hand_on(self, customer: str, owner, now: float) -> None:
         tokens = self._owners.drop(customer, now)
--- a/src/marjoramvalve/gateway/slots.py
+++ b/src/marjoramvalve/gateway/slots.py
@@ -275,7 +275,7 @@
         if target is None:
             return
         now = self._context.clock()
-        if body.connections == 0:
+        if body.connections == 0 and body.session == target.caller.session:
             target.refused_until = now + SILENT_OWNER_S
         granted = target.caller.granted(body, now)
         for slot, wait in granted.slots:
--- a/src/marjoramvalve/telemetry/logs.py
+++ b/src/marjoramvalve/telemetry/logs.py
@@ -6,6 +6,15 @@
 import structlog
 
 
+class _LibraryHandler(logging.Handler):
+    """Turns what libraries log into events of one line each."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        problem = repr(record.exc_info[1]) if record.exc_info else ""
+        log = structlog.get_logger(record.name)
+        log.warning("library.message", source=record.name, text=record.getMessage(), error=problem)
+
+
 def set_up_logs(level: str, instance: str) -> None:
     """Sends events to standard error as key=value lines."""
     structlog.configure(
@@ -20,4 +29,5 @@
         logger_factory=structlog.PrintLoggerFactory(sys.stderr),
         cache_logger_on_first_use=False,
     )
+    logging.basicConfig(handlers=[_LibraryHandler()], level=logging.WARNING, force=True)
     structlog.contextvars.bind_contextvars(instance=instance)
--- a/src/marjoramvalve/wire/messages.py
+++ b/src/marjoramvalve/wire/messages.py
@@ -79,13 +79,15 @@
 
     `placement_epoch` changes only with the set of instances and incarnations, on which keepers
     and bucket owners depend. `once_floor` is the wall time in seconds before which idempotency
-    records may have been lost; 0 means never.
+    records may have been lost; 0 means never. `fresh` names the customers created under the
+    present placement epoch: nobody but its present owners has ever spent from their bursts.
     """
 
     epoch: int
     placement_epoch: int
     members: tuple[Member, ...]
     once_floor: float = 0.0
+    fresh: tuple[str, ...] = ()
 
 
 class PatchRecord(Message, frozen=True):
