--- a/benches/fleets.py
+++ b/benches/fleets.py
@@ -78,6 +78,7 @@
         for name in ("secret", "operator"):
             (folder / name).write_text(secrets.token_hex(24))
         self.flags: dict[str, object] = {}
+        self.extra: subprocess.Popen | None = None
 
     def plan(self, name: str, domain: str, controller: bool = False) -> Daemon:
         """Reserves addresses for a daemon."""
--- /dev/null
+++ b/benches/hop.py
@@ -0,0 +1,166 @@
+"""Latency that one node adds to a call, at 60 and 300 calls a second, open loop.
+
+    python -m benches.hop [--before FOLDER] [--seconds N] [--rounds N]
+
+`--before` names a checkout of an earlier commit, whose node is measured in the same run.
+Direct calls, this node and the earlier one take turns.
+"""
+
+import asyncio
+import json
+import statistics
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+import fire
+import psutil
+import uvloop
+
+from benches.fleets import Fleet, free_address
+from benches.loads import Pool, histogram
+from marjoramvalve.model import key_digest
+
+KEY = "mvk_bench_key_0123456789"
+RATES = (60, 300)
+WARM_CONNECTIONS = 16
+PERCENTILES = (50, 99, 99.9)
+TARGET_P99_MS = 0.51
+
+
+@dataclass(slots=True)
+class Way:
+    """One way to the upstream: its name, address and the node's process."""
+
+    name: str
+    address: str
+    process: psutil.Process | None
+
+
+def request_for(address: str) -> bytes:
+    """Returns the raw request."""
+    return (
+        f"GET /stock/levels HTTP/1.1\r\nHost: {address}\r\nMarjoramvalve-Key: {KEY}\r\n"
+        "Accept: */*\r\nUser-Agent: bench\r\n\r\n"
+    ).encode()
+
+
+async def build(folder: Path, code: Path | None) -> tuple[Fleet, str, str, int]:
+    """Starts one node with its controller and an upstream; returns their addresses."""
+    folder.mkdir(parents=True)
+    fleet = Fleet(folder, code)
+    daemon = fleet.plan("n1", "amman", controller=True)
+    fleet.found()
+    fleet.start_daemon("n1")
+    await fleet.wait_settled()
+    document = {
+        "customers": {"bench": {"rate": 1e6, "burst": 1e6}},
+        "keys": {key_digest(KEY): {"customer": "bench"}},
+        "routes": {"stock": {"service": "stock", "path": "/stock"}},
+    }
+    file = folder / "patch.json"
+    file.write_text(json.dumps(document))
+    done = await asyncio.to_thread(fleet.cli, "patch", str(file), "--base=0", "--id=b")
+    assert done.returncode == 0, done.stderr
+    address = free_address()
+    args = [sys.executable, "-m", "benches.echo", "stock-1", "stock", address, daemon.control]
+    process = subprocess.Popen(args)
+    fleet.extra = process
+
+    async def known() -> bool:
+        status = await fleet.status("n1")
+        return bool(status and status["targets"])
+
+    await fleet.wait(known, "upstream")
+    return fleet, address, daemon.listen, daemon.process.pid
+
+
+async def measure(paths: list[Way], rounds: int, seconds: float) -> list[dict]:
+    """Measures every path at every rate, taking turns."""
+    rows = []
+    for rate in RATES:
+        merged = {path.name: histogram() for path in paths}
+        cpu = {path.name: 0.0 for path in paths}
+        p99s = {path.name: [] for path in paths}
+        bad = {path.name: 0 for path in paths}
+        for _ in range(rounds):
+            for path in paths:
+                pool = Pool(path.address)
+                await pool.warm(WARM_CONNECTIONS)
+                request = request_for(path.address)
+                await pool.drive(request, rate, 0.5)
+                before = sum(path.process.cpu_times()[:2]) if path.process else 0.0
+                outcome = await pool.drive(request, rate, seconds)
+                after = sum(path.process.cpu_times()[:2]) if path.process else 0.0
+                pool.close()
+                cpu[path.name] += after - before
+                merged[path.name].add(outcome.latencies)
+                p99s[path.name].append(outcome.latencies.get_value_at_percentile(99) / 1000)
+                bad[path.name] += outcome.unsent + sum(
+                    count for status, count in outcome.statuses.items() if status != 200
+                )
+        rows += [row(path, rate, merged, cpu, p99s, bad, rounds * seconds * rate) for path in paths]
+    return rows
+
+
+def row(path: Way, rate: int, merged, cpu, p99s, bad, calls: float) -> dict:
+    """Returns the figures of one path at one rate; added times are against direct calls."""
+    out = {"path": path.name, "rate": rate, "bad": bad[path.name]}
+    for percentile in PERCENTILES:
+        own = merged[path.name].get_value_at_percentile(percentile) / 1000
+        direct = merged["direct"].get_value_at_percentile(percentile) / 1000
+        out[f"p{percentile:g}_ms"] = round(own, 3)
+        out[f"added_p{percentile:g}_ms"] = round(own - direct, 3)
+    pairs = zip(p99s[path.name], p99s["direct"], strict=True)
+    out["added_p99_median_ms"] = round(statistics.median(own - ref for own, ref in pairs), 3)
+    out["cpu_ms_per_call"] = round(cpu[path.name] * 1000 / calls, 3)
+    out["memory_mb"] = round(path.process.memory_info().rss / 1e6, 1) if path.process else 0
+    return out
+
+
+def print_table(rows: list[dict]) -> None:
+    """Prints rows with aligned columns."""
+    names = list(rows[0])
+    widths = [max(len(name), *(len(str(item[name])) for item in rows)) for name in names]
+    print("  ".join(name.ljust(width) for name, width in zip(names, widths, strict=True)))
+    for item in rows:
+        cells = (str(item[name]).ljust(width) for name, width in zip(names, widths, strict=True))
+        print("  ".join(cells))
+
+
+async def run(before: str, seconds: float, rounds: int) -> list[dict]:
+    """Runs the bench."""
+    with tempfile.TemporaryDirectory() as holder:
+        fleets = []
+        try:
+            fleet, upstream, listen, pid = await build(Path(holder) / "now", None)
+            fleets.append(fleet)
+            paths = [Way("direct", upstream, None)]
+            paths.append(Way("node", listen, psutil.Process(pid)))
+            if before:
+                code = Path(before).resolve() / "src"
+                old, _, address, old_pid = await build(Path(holder) / "before", code)
+                fleets.append(old)
+                paths.append(Way("before", address, psutil.Process(old_pid)))
+            return await measure(paths, rounds, seconds)
+        finally:
+            for fleet in fleets:
+                fleet.close()
+                fleet.extra.terminate()
+                fleet.extra.wait()
+
+
+def main(before: str = "", seconds: float = 4.0, rounds: int = 4, out: str = "") -> None:
+    """Prints the table and the JSON; writes the JSON to `out` where given."""
+    rows = uvloop.run(run(before, seconds, rounds))
+    print_table(rows)
+    text = json.dumps({"target_added_p99_ms": TARGET_P99_MS, "rows": rows})
+    print(text)
+    if out:
+        Path(out).write_text(text + "\n")
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/src/marjoramvalve/admission/callers.py
+++ b/src/marjoramvalve/admission/callers.py
@@ -7,6 +7,7 @@
 DEMAND_DECAY = 0.8
 IDLE_END_S = 2.0
 RETRY_S = 0.05
+PROBE_S = 1.0
 NEVER = -1e18
 
 
@@ -173,10 +174,14 @@
         self._seq += 1
         self._sent = [item for item in self._sent if item.at > now - 10][-64:]
         self._sent.append(_Sent(self._seq, now))
-        if self.view.asked_since == NEVER:
-            self.view.asked_since = now
         ends = self._demand < 1 and not self.in_use and not self._waits and not self._idle
-        return self._build(now, longest_s, 0 if ends or self.retired else self._want())
+        if self.view.asked_since == NEVER and not ends:
+            self.view.asked_since = now
+        body = self._build(now, longest_s, 0 if ends or self.retired else self._want())
+        if ends:
+            self.restart_session(self.session + 1)
+            self._peak = 0
+        return body
 
     def _build(self, now: float, longest_s: float, want: int) -> SlotAsk:
         stats, self._stats = self._stats, _Stats()
@@ -258,6 +263,13 @@
         """Returns for how long the owner has left an ask without an answer, in seconds."""
         return 0.0 if self.view.asked_since == NEVER else now - self.view.asked_since
 
+    def is_silent(self, now: float, patience_s: float) -> bool:
+        """Tells whether to go round this owner for now.
+
+        An owner that was not asked for a while counts as willing, so that it is tried again.
+        """
+        return self.silent_for(now) > patience_s and now < self._asked_at + PROBE_S
+
     def restart_session(self, session: int) -> None:
         """Begins a new session with a new owner; running calls go on as the old one's."""
         self._legacy.update(self.in_use)
--- a/src/marjoramvalve/gateway/slots.py
+++ b/src/marjoramvalve/gateway/slots.py
@@ -156,7 +156,7 @@
             caller = target.caller
             if caller.view.draining and now < caller.view.answered_at + 1:
                 continue
-            if caller.silent_for(now) > SILENT_OWNER_S or now < target.refused_until:
+            if caller.is_silent(now, SILENT_OWNER_S) or now < target.refused_until:
                 continue
             local = target.domain == self._context.cfg.domain
             candidates.append(Candidate(name, caller.load(), local))
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -90,6 +90,28 @@
                 fake.deliver(0)
         self.assertEqual(fake.served, 1)
 
+    def test_idle_session_ends_and_begins_anew(self):
+        fake = FakeSlots(2)
+        for _ in range(3):
+            fake.call("n0")
+            for _ in range(120):
+                fake.advance(0.05)
+                while fake.packets:
+                    fake.deliver(0)
+            self.assertEqual(fake.owner.held(), 0)
+        self.assertEqual(fake.served, 3)
+        self.assertFalse(fake.callers["n0"].is_silent(fake.now, 0.25))
+
+    def test_silent_owner_is_tried_again(self):
+        fake = FakeSlots(2)
+        caller = fake.callers["n0"]
+        fake.call("n0")
+        fake.advance(0.01)
+        fake.advance(0.3)
+        now = fake.clock("n0")
+        self.assertTrue(caller.is_silent(now, 0.25))
+        self.assertFalse(caller.is_silent(now + 5, 0.25))
+
     def test_draining_owner_grants_nothing(self):
         fake = FakeSlots(3)
         fake.owner.draining = True
