--- /dev/null
+++ b/src/marjoramvalve/daemon/cores.py
@@ -0,0 +1,256 @@
+"""What one instance decides and does, apart from its sockets."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import structlog
+
+from marjoramvalve.controller import Controller
+from marjoramvalve.daemon.buckets import BucketHost
+from marjoramvalve.daemon.keeping import KeeperHost
+from marjoramvalve.daemon.polls import Poller
+from marjoramvalve.daemon.slots import SlotHost
+from marjoramvalve.gateway import Context, Forwarder, Gateway, OnceClient, RateClient, SlotClient
+from marjoramvalve.membership import ConfigView, LocalUpstreams, Taken
+from marjoramvalve.retries import TokenMint
+from marjoramvalve.settings import Settings
+from marjoramvalve.telemetry import Counters, Tracing
+from marjoramvalve.wire import Envelope, Message
+from marjoramvalve.wire import messages as m
+
+TICK_S = 0.02
+STOP_POLL_S = 0.05
+
+log = structlog.get_logger("node")
+
+
+class NodeCore:
+    """The parts of an instance and what passes between them.
+
+    `cast` and `send` carry messages to other instances; those to itself go round them.
+    """
+
+    def __init__(
+        self,
+        cfg: Settings,
+        secret: bytes,
+        clock: Callable[[], float],
+        wall: Callable[[], float],
+        rng: random.Random,
+        cast: Callable[[str, Message], None],
+        send: Callable[[str, Message], None],
+        forwarder: Forwarder,
+        tracing: Tracing,
+    ) -> None:
+        self.cfg = cfg
+        self.view = ConfigView()
+        self.counters = Counters()
+        self._cast_out = cast
+        self._send_out = send
+        self.context = Context(
+            cfg=cfg,
+            incarnation=int(wall() * 1000),
+            clock=clock,
+            wall=wall,
+            rng=rng,
+            view=self.view,
+            counters=self.counters,
+            cast=self._cast,
+            send=self._send,
+        )
+        self.upstreams = LocalUpstreams(cfg.upstream_heartbeat)
+        self.slots = SlotClient(self.context)
+        self.rates = RateClient(self.context)
+        self.once = OnceClient(self.context)
+        self.gateway = Gateway(
+            self.context, TokenMint(secret), self.slots, self.rates, self.once, tracing, forwarder
+        )
+        self.slot_host = SlotHost(self.context, self.upstreams)
+        self.bucket_host = BucketHost(self.context)
+        self.keeper_host = KeeperHost(self.context)
+        self.poller = Poller(self.context)
+        self.controller: Controller | None = None
+        self._tasks: list[asyncio.Task] = []
+        self._announced: tuple = ()
+        self._revision = 0
+        self._polled_at = -1e18
+
+    async def start_core(self) -> None:
+        """Starts the periodic work."""
+        if self.controller is not None:
+            await self.controller.start()
+        await self.slots.start()
+        self._tasks = [asyncio.create_task(self._run())]
+        self._tasks += [self.controller.task] if self.controller else []
+
+    async def failed(self) -> None:
+        """Returns once a periodic task has ended, which only a broken invariant does."""
+        done, _ = await asyncio.wait(self._tasks, return_when=asyncio.FIRST_COMPLETED)
+        for task in done:
+            if not task.cancelled() and task.exception() is not None:
+                log.error("node.failed", exc_info=task.exception())
+
+    async def leave(self, deadline: float) -> None:
+        """Drains the upstreams beside, gives up all places in the roster, hands over records."""
+        for item in self.upstreams.all():
+            self.upstreams.drain(item.info.name)
+        self.slot_host.sync()
+        self.poller.leaving = True
+        self._poll()
+        await self.wait_for(self._has_left, deadline)
+        await self.wait_for(self.keeper_host.has_sent, deadline)
+        log.info("node.out_of_roster", idle=self._upstreams_idle())
+
+    async def close_core(self) -> None:
+        """Ends the periodic work."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.slots.close()
+        self.rates.close()
+        if self.controller is not None:
+            await self.controller.close()
+
+    def _has_left(self) -> bool:
+        names = {item.name for item in self.view.roster.members}
+        return self.cfg.instance not in names and self._upstreams_idle()
+
+    def _upstreams_idle(self) -> bool:
+        return all(owner.held() == 0 for owner in self.slot_host.owners())
+
+    async def wait_for(self, condition: Callable[[], bool], deadline: float) -> None:
+        """Waits for a condition until a deadline on the monotonic clock."""
+        while not condition() and self.context.clock() < deadline:
+            await asyncio.sleep(STOP_POLL_S)
+
+    # Periodic work
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.tick()
+
+    def tick(self) -> None:
+        """Does what is due."""
+        now = self.context.clock()
+        if self.upstreams.announced() != self._announced:
+            self.sync_upstreams()
+        self.slot_host.tick()
+        self.bucket_host.tick()
+        self.keeper_host.tick()
+        if now >= self._polled_at + self.cfg.poll_interval:
+            self._poll()
+
+    def sync_upstreams(self) -> None:
+        """Takes up a change of the upstreams beside this instance, and tells the controllers."""
+        self._announced = self.upstreams.announced()
+        self._revision += 1
+        self.slot_host.sync()
+        self._poll()
+
+    def member(self) -> m.Member:
+        """Returns what this instance says of itself."""
+        cfg = self.cfg
+        return m.Member(
+            name=cfg.instance,
+            domain=cfg.domain,
+            region=cfg.region,
+            peer=cfg.peer,
+            control=cfg.control,
+            incarnation=self.context.incarnation,
+            upstreams=self._announced,
+            revision=self._revision,
+        )
+
+    def _poll(self) -> None:
+        self._polled_at = self.context.clock()
+        settled = self.keeper_host.settled_epoch()
+        self.poller.poll(self.member(), settled, self.slots.suspects())
+
+    # Messages
+
+    def _cast(self, address: str, body: Message) -> None:
+        if address == self.cfg.peer:
+            self._loop_back(body)
+        else:
+            self._cast_out(address, body)
+
+    def _send(self, address: str, body: Message) -> None:
+        if address == self.cfg.peer:
+            self._loop_back(body)
+        else:
+            self._send_out(address, body)
+
+    def _loop_back(self, body: Message) -> None:
+        envelope = Envelope(self.cfg.instance, self.cfg.peer, body)
+        asyncio.get_running_loop().call_soon(self.dispatch, envelope)
+
+    def dispatch(self, envelope: Envelope) -> None:
+        """Hands a message to the part that it is for."""
+        body = envelope.body
+        match body:
+            case m.SlotGrant():
+                self.slots.on_grant(body)
+            case m.SlotAsk():
+                self.slot_host.on_ask(envelope.src, envelope.address, body)
+            case m.LotAnswer():
+                if not self.rates.on_answer(body):
+                    self.bucket_host.on_loan(body)
+            case m.LotRequest():
+                self.bucket_host.on_request(envelope.address, body)
+            case m.TokenTransfer():
+                self.bucket_host.on_transfer(body)
+            case m.Poll():
+                self._on_poll(envelope, body)
+            case m.Confirmed():
+                self._on_confirmed(body)
+            case m.KeeperBegin():
+                self.keeper_host.on_begin(envelope.address, body)
+            case m.KeeperFinish():
+                self.keeper_host.on_finish(envelope.address, body)
+            case m.KeeperAnswer():
+                self.once.on_answer(body)
+            case m.HandOver():
+                self.keeper_host.on_hand_over(envelope.src, envelope.address, body)
+            case m.HandOverDone():
+                self.keeper_host.on_hand_over_done(envelope.src, body)
+            case m.HeldQuery():
+                self.context.cast(envelope.address, self.slots.on_held_query(body))
+            case m.HeldReport():
+                self.slot_host.on_report(envelope.src, body)
+            case m.Quarantine():
+                now = self.context.clock()
+                self.gateway.quarantine.merge(body.fingerprint, body.crashes, body.ttl_s, now)
+            case _:
+                if self.controller is not None:
+                    self.controller.on_message(envelope)
+
+    def _on_poll(self, envelope: Envelope, body: m.Poll) -> None:
+        if self.controller is not None and self.controller.leads():
+            self.controller.on_poll(body, envelope.src, self.context.clock())
+        elif envelope.src == self.cfg.instance:
+            if self.controller is not None:
+                self.controller.on_poll(body, envelope.src, self.context.clock())
+        else:
+            self.poller.on_poll(body)
+
+    def _on_confirmed(self, body: m.Confirmed) -> None:
+        before = self.view.roster.epoch
+        taken = self.poller.take(body)
+        match taken:
+            case Taken.CHANGED:
+                self._apply_view(before)
+            case Taken.GAP:
+                self._apply_view(before)
+                self._poll()
+
+    def _apply_view(self, roster_epoch_before: int) -> None:
+        self.gateway.set_document()
+        if self.view.roster.epoch != roster_epoch_before:
+            self.slots.set_roster()
+            self.slot_host.set_roster()
+            self.keeper_host.set_roster()
+        self.bucket_host.sync()
+        self.poller.push()
+        log.info("config.changed", version=self.view.version, epoch=self.view.roster.epoch)
--- a/src/marjoramvalve/gateway/__init__.py
+++ b/src/marjoramvalve/gateway/__init__.py
@@ -1,9 +1,10 @@
 """The way of a call through an instance: from the caller to an upstream and back."""
 
 from marjoramvalve.gateway.contexts import Context
+from marjoramvalve.gateway.forwards import Forwarder
 from marjoramvalve.gateway.handlers import Gateway
 from marjoramvalve.gateway.idempotency import OnceClient
 from marjoramvalve.gateway.rates import RateClient
 from marjoramvalve.gateway.slots import SlotClient
 
-__all__ = ["Context", "Gateway", "OnceClient", "RateClient", "SlotClient"]
+__all__ = ["Context", "Forwarder", "Gateway", "OnceClient", "RateClient", "SlotClient"]
--- a/src/marjoramvalve/gateway/forwards.py
+++ b/src/marjoramvalve/gateway/forwards.py
@@ -14,7 +14,7 @@
 IDLE_CONNECTION_S = 10.0
 CONNECT_S = 1.0
 SKIP_HEADERS = frozenset({"User-Agent", "Accept", "Accept-Encoding", "Content-Type"})
-NO_TIMEOUT = aiohttp.ClientTimeout(total=None)
+TIMEOUTS = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_S)
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,7 +101,7 @@
                 allow_redirects=False,
                 skip_auto_headers=SKIP_HEADERS,
             )
-        except aiohttp.ClientConnectorError as exc:
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
             return NotSent(str(exc))
         except (aiohttp.ClientError, OSError, ValueError) as exc:
             return Broken(f"upstream gave no answer: {exc}", _died(exc))
@@ -141,7 +141,7 @@
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
-        timeout=NO_TIMEOUT,
+        timeout=TIMEOUTS,
         trust_env=False,
     )
     # The library would send some methods a second time by itself after a broken connection;
--- a/src/marjoramvalve/gateway/handlers.py
+++ b/src/marjoramvalve/gateway/handlers.py
@@ -1,7 +1,6 @@
 """Handler of calls: who calls, on which route, by what right, and what came of it."""
 
 import asyncio
-import secrets
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
@@ -76,6 +75,7 @@
         rates: RateClient,
         once: OnceClient,
         tracing: Tracing,
+        forwarder: Forwarder,
     ) -> None:
         self._context = context
         self._mint = mint
@@ -83,7 +83,7 @@
         self._rates = rates
         self._once = once
         self._tracing = tracing
-        self._forwarder = Forwarder(context.cfg.buffer_bytes)
+        self._forwarder = forwarder
         self._table = RouteTable({})
         self._budgets: dict[str, RouteBudget] = {}
         self.quarantine = QuarantineBook()
@@ -122,7 +122,7 @@
         except Exception:
             log.exception("gateway.fault", path=request.path)
             fault = refuse(Reason.INTERNAL, "fault inside the instance", Run.UNKNOWN)
-            answer = await self._refuse(request, fault, secrets.token_hex(8), None)
+            answer = await self._refuse(request, fault, self._new_id(), None)
         finally:
             self.running -= 1
         if self.closing:
@@ -135,7 +135,7 @@
         try:
             opened = self._open(request)
             if isinstance(opened, Refusal):
-                request_id = secrets.token_hex(8)
+                request_id = self._new_id()
                 return await self._refuse(request, opened, request_id, None)
             call = opened
             request_id = call.request_id
@@ -173,6 +173,9 @@
             answer.force_close()
         return answer
 
+    def _new_id(self) -> str:
+        return f"{self._context.rng.getrandbits(64):016x}"
+
     # Who calls, and where to
 
     def _open(self, request: web.BaseRequest) -> Call | Refusal:
@@ -209,7 +212,7 @@
         if not token.customer and not matched.route.open:
             return refuse(Reason.NO_KEY, "route is not open, and the call chain has no customer")
         return Call(
-            request_id=f"{token.request_id}.{secrets.token_hex(3)}",
+            request_id=f"{token.request_id}.{self._context.rng.getrandbits(24):06x}",
             matched=matched,
             customer=token.customer,
             weight=customer.weight if customer else 1.0,
@@ -241,7 +244,7 @@
             weight = item.weight
             rank = min(rank, PRIORITIES.index(item.max_priority))
         return Call(
-            request_id=secrets.token_hex(8),
+            request_id=self._new_id(),
             matched=matched,
             customer=customer,
             weight=weight,
--- /dev/null
+++ b/src/marjoramvalve/scenario/clients.py
@@ -0,0 +1,131 @@
+"""Clients: open-loop arrivals of each customer, with polite or hard retries."""
+
+import asyncio
+import random
+from dataclasses import dataclass
+
+from marjoramvalve.gateway import headers as h
+from marjoramvalve.scenario.deployments import Entry
+from marjoramvalve.scenario.requests import MemoryRequest
+from marjoramvalve.scenario.traces import Ended
+from marjoramvalve.scenario.worlds import World
+
+HARD_TRIES = 4
+POLITE_TRIES = 2
+HARD_PAUSE_S = 0.05
+MAX_PAUSE_S = 2.0
+ORDER_PART = 0.3
+
+
+@dataclass(slots=True)
+class Demand:
+    """What the clients do at present."""
+
+    rate: float
+    tries: int = POLITE_TRIES
+    hard: bool = False
+
+
+class Clients:
+    """Clients of every customer."""
+
+    def __init__(self, world: World, keys: dict[str, str], rate: float, seed: int) -> None:
+        self.world = world
+        self.keys = keys
+        self.rng = random.Random(seed)
+        self.demand = Demand(rate)
+        self.factors = dict.fromkeys(keys, 1.0)
+        self.offered: list[tuple[float, str, str]] = []
+        self._calls = 0
+        self._running: set[asyncio.Task] = set()
+        self._tasks: list[asyncio.Task] = []
+
+    def start(self) -> None:
+        """Starts the arrivals."""
+        shares = self.world.deployment.customers
+        for customer, share in zip(self.keys, shares, strict=True):
+            self._tasks.append(asyncio.create_task(self._arrive(customer, share)))
+
+    async def close(self) -> None:
+        """Ends the arrivals and waits for the calls under way."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._running:
+            await asyncio.wait(self._running, timeout=10)
+
+    async def _arrive(self, customer: str, share: float) -> None:
+        loop = self.world.loop
+        while True:
+            rate = self.demand.rate * share * self.factors[customer]
+            await asyncio.sleep(self.rng.expovariate(rate))
+            entry = self._draw()
+            self.offered.append((loop.time(), customer, entry.route))
+            task = asyncio.create_task(self.call(customer, entry))
+            self._running.add(task)
+            task.add_done_callback(self._running.discard)
+
+    def _draw(self) -> Entry:
+        entries = self.world.deployment.entries
+        return self.rng.choices(entries, [entry.share for entry in entries])[0]
+
+    async def call(self, customer: str, entry: Entry, extra: dict | None = None) -> int:
+        """Makes a call with its retries; returns the last status."""
+        self._calls += 1
+        number = self._calls
+        headers = {h.KEY: self.keys[customer], **(extra or {})}
+        if not entry.repeatable:
+            headers[h.IDEMPOTENCY_KEY] = f'"order-{number}"'
+        method = "GET" if entry.repeatable else "POST"
+        tries = HARD_TRIES if self.demand.hard else POLITE_TRIES
+        status = 0
+        for attempt in range(tries):
+            status, wait = await self._attempt(customer, entry, method, headers, number)
+            if status not in (0, 429, 502, 503, 504):
+                break
+            if attempt + 1 < tries:
+                pause = HARD_PAUSE_S if self.demand.hard else min(MAX_PAUSE_S, wait or 0.2)
+                await asyncio.sleep(pause)
+        return status
+
+    async def _attempt(
+        self, customer: str, entry: Entry, method: str, headers: dict, number: int
+    ) -> tuple[int, float]:
+        world = self.world
+        names = [name for name, item in world.instances.items() if item.alive and item.serves]
+        name = self.rng.choice(names)
+        sent_at = world.loop.time()
+        await asyncio.sleep(world.deployment.client_delay_s)
+        request = MemoryRequest(method, f"/{entry.route}", headers, b"")
+        answer = await world.call(world.instances[name], request)
+        if answer is None:
+            world.trace.cuts.append((world.loop.time(), name))
+        await asyncio.sleep(world.deployment.client_delay_s)
+        self._note(entry, customer, headers, number, sent_at, name, answer)
+        if answer is None:
+            return 0, 0.0
+        return answer.status, float(answer.headers.get("Retry-After", 0.0))
+
+    def _note(self, entry, customer, headers, number, sent_at, name, answer) -> None:
+        found = answer.headers if answer is not None else {}
+        request_id = found.get(h.REQUEST_ID, "")
+        right = answer is not None and bytes(answer.body or b"").decode().startswith(request_id)
+        if found.get(h.REPLAYED):
+            right = True
+        self.world.trace.ends.append(
+            Ended(
+                sent_at=sent_at,
+                at=self.world.loop.time(),
+                call=number,
+                customer=customer,
+                route=entry.route,
+                priority=entry.priority,
+                status=answer.status if answer is not None else 0,
+                reason=found.get(h.REASON, ""),
+                run=found.get(h.RUN, ""),
+                request_id=request_id,
+                instance=name,
+                key=headers[h.KEY],
+                right=right,
+            )
+        )
--- /dev/null
+++ b/src/marjoramvalve/scenario/deployments.py
@@ -0,0 +1,144 @@
+"""The two deployments of the brief, with a call graph for each."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A service: its upstreams, slots and connections of each, mean time of its own work.
+
+    `calls` names the services that each request calls in turn. `work_s` is in seconds.
+    """
+
+    name: str
+    upstreams: int
+    slots: int
+    connections: int
+    work_s: float
+    calls: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """A route that clients call: its share of the load, its priority, whether it repeats."""
+
+    route: str
+    service: str
+    share: float
+    priority: str
+    repeatable: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """Failure domains, services, entries and customers' shares of the load.
+
+    Delays are one way, in seconds.
+    """
+
+    name: str
+    domains: tuple[str, ...]
+    services: tuple[Service, ...]
+    entries: tuple[Entry, ...]
+    customers: tuple[float, ...]
+    client_delay_s: float
+    domain_delay_s: float = 0.001
+    inner_delay_s: float = 0.0002
+    deadline_ms: int = 2000
+
+    def service(self, name: str) -> Service:
+        """Returns a service by name."""
+        return next(item for item in self.services if item.name == name)
+
+    def uses(self, name: str) -> dict[str, float]:
+        """Returns slot-seconds of each service that one call of service `name` takes."""
+        out: dict[str, float] = {}
+        self._use(name, out)
+        return out
+
+    def _use(self, name: str, out: dict[str, float]) -> float:
+        service = self.service(name)
+        held = service.work_s + sum(self._use(below, out) for below in service.calls)
+        out[name] = out.get(name, 0.0) + held
+        return held
+
+    def capacity(self) -> float:
+        """Returns the calls a second, in the mix of the entries, that the slots can do."""
+        need: dict[str, float] = {}
+        for entry in self.entries:
+            for name, seconds in self.uses(entry.service).items():
+                need[name] = need.get(name, 0.0) + entry.share * seconds
+        rates = []
+        for name, seconds in need.items():
+            service = self.service(name)
+            rates.append(service.upstreams * service.slots / seconds)
+        return min(rates)
+
+
+LARGE_AND_SMALL = (0.30, 0.24, 0.16, 0.10, 0.08, 0.05, 0.04, 0.03)
+
+ASHTAR = Deployment(
+    name="ashtar",
+    domains=("amman", "irbid", "zarqa"),
+    services=(
+        Service("catalogue", 5, 40, 330, 0.10, ("ledger",)),
+        Service("ledger", 4, 50, 390, 0.08, ("timberstore",)),
+        Service("timberstore", 3, 60, 480, 0.06),
+        Service("benchbook", 3, 15, 200, 0.08, ("timberstore",)),
+    ),
+    entries=(
+        Entry("catalogue", "catalogue", 0.55, "low", True),
+        Entry("bench", "benchbook", 0.20, "normal", True),
+        Entry("dues", "ledger", 0.15, "high", False),
+        Entry("order", "timberstore", 0.10, "high", False),
+    ),
+    customers=LARGE_AND_SMALL,
+    client_delay_s=0.003,
+)
+
+CARDENAS = Deployment(
+    name="cardenas",
+    domains=("arauco", "laja", "nacimiento", "valdivia"),
+    services=(
+        Service("archivo", 5, 70, 530, 0.10),
+        Service("caustificacion", 4, 75, 560, 0.08, ("archivo",)),
+        Service("horno-cal", 4, 75, 560, 0.08, ("caustificacion",)),
+        Service("licor-negro", 4, 30, 290, 0.06, ("archivo",)),
+    ),
+    entries=(
+        Entry("smelt", "archivo", 0.45, "low", True),
+        Entry("liquor", "licor-negro", 0.25, "normal", True),
+        Entry("signoff", "caustificacion", 0.15, "high", False),
+        Entry("dosing", "horno-cal", 0.15, "high", False),
+    ),
+    customers=LARGE_AND_SMALL,
+    client_delay_s=0.001,
+)
+
+DEPLOYMENTS = {item.name: item for item in (ASHTAR, CARDENAS)}
+
+
+def scaled(deployment: Deployment, factor: float) -> Deployment:
+    """Returns a deployment with slots and connections of each upstream scaled."""
+    services = tuple(
+        Service(
+            item.name,
+            item.upstreams,
+            max(2, round(item.slots * factor)),
+            max(40, round(item.connections * factor)),
+            item.work_s,
+            item.calls,
+        )
+        for item in deployment.services
+    )
+    return Deployment(
+        deployment.name,
+        deployment.domains,
+        services,
+        deployment.entries,
+        deployment.customers,
+        deployment.client_delay_s,
+        deployment.domain_delay_s,
+        deployment.inner_delay_s,
+        deployment.deadline_ms,
+    )
--- /dev/null
+++ b/src/marjoramvalve/scenario/runs.py
@@ -0,0 +1,292 @@
+"""Runs a scenario in a world and judges it."""
+
+import asyncio
+import json
+from dataclasses import dataclass
+
+from marjoramvalve.gateway import headers as h
+from marjoramvalve.model import key_digest
+from marjoramvalve.scenario.backends import POISON
+from marjoramvalve.scenario.clients import Clients
+from marjoramvalve.scenario.deployments import Deployment
+from marjoramvalve.scenario.figures import Figures
+from marjoramvalve.scenario.loops import VirtualLoop
+from marjoramvalve.scenario.scripts import Action, Expectation, Script
+from marjoramvalve.scenario.traces import Broken, Checker, Expected, Trace
+from marjoramvalve.scenario.worlds import INNER, World
+
+RATE_HEADROOM = 4.0
+POISON_TRIES = 8
+POLICY_RETRIES = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Missed:
+    """An expectation that was not met."""
+
+    expectation: Expectation
+    figure: float
+
+
+@dataclass(frozen=True, slots=True)
+class ScenarioResult:
+    """What came of a run."""
+
+    figures: Figures
+    trace: Trace
+    broken: list[Broken]
+    missed: list[Missed]
+    measured: list[tuple[Expectation, float]]
+
+
+def customer_names(deployment: Deployment) -> list[str]:
+    """Returns the names of the customers."""
+    return [f"shed-{number + 1}" for number in range(len(deployment.customers))]
+
+
+class Run:
+    """One run of a scenario."""
+
+    def __init__(self, deployment: Deployment, script: Script, seed: int, world_class) -> None:
+        self.deployment = deployment
+        self.script = script
+        self.seed = seed
+        self.world = world_class(deployment, seed)
+        names = customer_names(deployment)
+        self.keys = {name: f"mvk_{name}" for name in names}
+        base = deployment.capacity()
+        self.rates = {
+            name: (RATE_HEADROOM * base * share, RATE_HEADROOM * base * share)
+            for name, share in zip(names, deployment.customers, strict=True)
+        }
+        self.clients = Clients(self.world, self.keys, script.load * base, seed)
+        self._tasks: list[asyncio.Task] = []
+
+    def _document(self) -> dict:
+        routes = {}
+        for entry in self.deployment.entries:
+            routes[entry.route] = {
+                "service": entry.service,
+                "path": f"/{entry.route}",
+                "priority": entry.priority,
+                "repeatable": entry.repeatable,
+                "deadline_ms": self.deployment.deadline_ms,
+            }
+        for service in self.deployment.services:
+            routes[f"inner-{service.name}"] = {
+                "service": service.name,
+                "path": INNER + service.name,
+                "priority": "high",
+                "deadline_ms": self.deployment.deadline_ms,
+            }
+        return {
+            "customers": {
+                name: {"rate": rate, "burst": burst} for name, (rate, burst) in self.rates.items()
+            },
+            "keys": {key_digest(key): {"customer": name} for name, key in self.keys.items()},
+            "routes": routes,
+            "policy": {"chain_retries": POLICY_RETRIES},
+        }
+
+    async def go(self) -> ScenarioResult:
+        """Runs the scenario."""
+        world = self.world
+        await world.start()
+        await self._patch(self._document())
+        version = world.trace.accepted[-1][1]
+        await world.until(
+            lambda: all(item.core.view.version >= version for item in world.instances.values())
+        )
+        began = world.loop.time()
+        self.clients.start()
+        for step in self.script.steps:
+            await asyncio.sleep(max(0.0, began + step.at - world.loop.time()))
+            await self._act(step.action)
+        await asyncio.sleep(max(0.0, began + self.script.seconds - world.loop.time()))
+        await self.clients.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await world.close()
+        return self._judge(began)
+
+    async def _patch(self, tree: dict) -> None:
+        for _ in range(100):
+            verdict = await self.world.patch(json.dumps(tree).encode())
+            if verdict is not None:
+                assert verdict.accepted, verdict
+                return
+            await asyncio.sleep(0.1)
+
+    def _spawn(self, coro) -> None:
+        self._tasks.append(asyncio.create_task(coro))
+
+    async def _act(self, action: Action) -> None:
+        world = self.world
+        match action:
+            case Action("load", (share,)):
+                self.clients.demand.rate = share * self.deployment.capacity()
+            case Action("clients", (manner,)):
+                self.clients.demand.hard = manner == "hard"
+            case Action("customer_factor", (name, factor)):
+                self.clients.factors[name] = factor
+            case Action("slows", (kind, name, factor)):
+                for backend in self._backends(kind, name):
+                    backend.slow = factor
+            case Action("state", (kind, name, state)):
+                for backend in self._backends(kind, name):
+                    backend.failing = state == "fails"
+            case Action("crashes", (name, seconds)):
+                self._spawn(self._crash(name, seconds))
+            case Action("cold", (name,)):
+                for backend in self._backends("service", name):
+                    backend.crash()
+                    backend.start_anew()
+            case Action("drains", (name,)):
+                world.drain(name)
+            case Action("poison", (name,)):
+                self._spawn(self._poison(name))
+            case Action("withdraw", (name,)):
+                self._spawn(self._withdraw(name))
+            case Action("patch_rate", (name, rate, burst)):
+                old_rate, old_burst = self.rates[name]
+                self.rates[name] = (max(rate, old_rate), max(burst, old_burst))
+                self._spawn(self._patch({"customers": {name: {"rate": rate, "burst": burst}}}))
+            case _:
+                await self._act_on_places(action)
+
+    async def _act_on_places(self, action: Action) -> None:
+        world = self.world
+        now = world.loop.time()
+        match action:
+            case Action("killed", (name,)):
+                world.kill(name)
+            case Action("restarts", (name,)):
+                world.trace.unreachable.append((now, now + 3, name))
+                await world.restart(name)
+            case Action("stops", (name,)):
+                self._spawn(world.stop(name))
+            case Action("rack", (name,)):
+                world.kill(name)
+                for backend in world.instances[name].beside:
+                    backend.crash()
+            case Action("cut_domains", (first, second)):
+                world.cuts.add(frozenset((first, second)))
+                self._excuse(now)
+            case Action("cut_instance", (name,)):
+                world.cuts |= {frozenset((name, other)) for other in world.instances}
+                self._excuse(now)
+            case Action("heal", ()):
+                world.cuts.clear()
+                self._excuse(now, True)
+            case _:
+                raise AssertionError(f"unknown action {action}")
+
+    def _excuse(self, now: float, healed: bool = False) -> None:
+        """Notes the instances that a cut keeps from configuration."""
+        spans = self.world.trace.unreachable
+        if healed:
+            spans[:] = [(a, min(b, now), name) for a, b, name in spans]
+            return
+        cut = {name for pair in self.world.cuts for name in pair}
+        for name, instance in self.world.instances.items():
+            if name in cut or instance.domain in cut:
+                spans.append((now, float("inf"), name))
+
+    def _backends(self, kind: str, name: str) -> list:
+        found = self.world.backends.values()
+        if kind == "upstream":
+            return [item for item in found if item.name == name]
+        return [item for item in found if item.service.name == name]
+
+    async def _crash(self, name: str, seconds: float) -> None:
+        backend = self.world.backends[name]
+        backend.crash()
+        await asyncio.sleep(seconds)
+        backend.start_anew()
+
+    async def _poison(self, customer: str) -> None:
+        entry = next(item for item in self.deployment.entries if item.repeatable)
+        watch = asyncio.create_task(self._revive())
+        for _ in range(POISON_TRIES):
+            await self.clients.call(customer, entry, {POISON: "1", h.PRIORITY: "low"})
+            await asyncio.sleep(0.2)
+        await asyncio.sleep(5)
+        watch.cancel()
+
+    async def _revive(self) -> None:
+        """Restarts crashed upstreams, as their platform would."""
+        while True:
+            await asyncio.sleep(2.0)
+            for backend in self.world.backends.values():
+                if not backend.alive:
+                    backend.start_anew()
+
+    async def _withdraw(self, name: str) -> None:
+        await self._patch({"keys": {key_digest(self.keys[name]): None}})
+        self.world.trace.withdrawn[self.keys[name]] = self.world.loop.time()
+
+    # Judging
+
+    def _judge(self, began: float) -> ScenarioResult:
+        trace = self.world.trace
+        offered = self.clients.offered
+        figures = Figures(self.deployment, trace, offered, began, self.rates)
+        expected = Expected(
+            POLICY_RETRIES,
+            self._calls_below(),
+            self.rates,
+            {key: name for name, key in self.keys.items()},
+            {entry.route: entry.service for entry in self.deployment.entries},
+        )
+        broken = Checker(trace, expected).check()
+        measured = [(item, self._measure(figures, item)) for item in self.script.expectations]
+        missed = [Missed(item, figure) for item, figure in measured if not item.holds(figure)]
+        return ScenarioResult(figures, trace, broken, missed, measured)
+
+    def _calls_below(self) -> dict[str, int]:
+        """Returns the most calls to each service that one root call makes without retries."""
+        most: dict[str, int] = {}
+        for entry in self.deployment.entries:
+            counts: dict[str, int] = {}
+            self._count(entry.service, counts)
+            for name, count in counts.items():
+                most[name] = max(most.get(name, 0), count)
+        return most
+
+    def _count(self, name: str, counts: dict[str, int]) -> None:
+        counts[name] = counts.get(name, 0) + 1
+        for below in self.deployment.service(name).calls:
+            self._count(below, counts)
+
+    def _measure(self, figures: Figures, item: Expectation) -> float:
+        end = min(item.end, self.script.seconds)
+        match item.measure:
+            case "goodput":
+                return figures.goodput(item.begin, end)
+            case "recovery":
+                return figures.recovery(item.begin, end)
+            case "worst":
+                return figures.worst_customer(item.begin, end)
+            case "success":
+                return figures.success(item.argument, item.begin, end)
+            case "wrongful":
+                return figures.wrongful_refusals()
+            case _:
+                orders: dict[str, int] = {}
+                for ran in self.world.trace.runs:
+                    if ran.order:
+                        orders[ran.order] = orders.get(ran.order, 0) + 1
+                return max(orders.values(), default=0)
+
+
+async def _go(deployment: Deployment, script: Script, seed: int, world_class) -> ScenarioResult:
+    return await Run(deployment, script, seed, world_class).go()
+
+
+def run_scenario(
+    deployment: Deployment, script: Script, seed: int, world_class: type[World] = World
+) -> ScenarioResult:
+    """Runs a scenario on virtual time; equal arguments give equal traces."""
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        return runner.run(_go(deployment, script, seed, world_class))
