--- /dev/null
+++ b/benches/scenarios.py
@@ -0,0 +1,105 @@
+"""Runs the scenarios on both deployments and prints a table of the figures.
+
+python -m benches.scenarios [--only NAME] [--scale 0.25] [--seed 1] [--baselines]
+"""
+
+import json
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+import fire
+
+from marjoramvalve.scenario import DEPLOYMENTS, Script, parse_script, run_scenario
+from marjoramvalve.scenario.baselines import NoControlWorld, StaticLimitWorld
+from marjoramvalve.scenario.deployments import scaled
+from marjoramvalve.scenario.worlds import World
+from marjoramvalve.telemetry import set_up_logs
+
+FOLDER = Path(__file__).parent.parent / "scenarios"
+WORKERS = 5
+WORLDS = {"none": NoControlWorld, "static": StaticLimitWorld, "marjoramvalve": World}
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    """One run."""
+
+    scenario: str
+    deployment: str
+    control: str
+    scale: float
+    seed: int
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """Figures of one run."""
+
+    scenario: str
+    deployment: str
+    control: str
+    figures: dict[str, float]
+    missed: list[str]
+    broken: list[str]
+    calls: int
+
+
+def label(item) -> str:
+    """Returns a short name of an expectation."""
+    sign = ">=" if item.at_least else "<="
+    name = f"{item.measure} {item.argument}".strip()
+    return f"{name} {sign} {item.value:g}"
+
+
+def run_job(job: Job) -> Row:
+    """Runs one scenario."""
+    set_up_logs("critical", "scenario")
+    script = parse_script((FOLDER / f"{job.scenario}.scn").read_text())
+    assert isinstance(script, Script), script
+    deployment = scaled(DEPLOYMENTS[job.deployment], job.scale)
+    result = run_scenario(deployment, script, job.seed, WORLDS[job.control])
+    return Row(
+        job.scenario,
+        job.deployment,
+        job.control,
+        {label(item): round(figure, 4) for item, figure in result.measured},
+        [f"{label(item.expectation)}: {item.figure:.3f}" for item in result.missed],
+        sorted({f"{item.line}: {item.detail}" for item in result.broken})[:5],
+        len(result.trace.ends),
+    )
+
+
+def jobs(only: str, scale: float, seed: int, baselines: bool) -> list[Job]:
+    """Returns the runs to make."""
+    out = []
+    for file in sorted(FOLDER.glob("*.scn")):
+        name = file.stem
+        if only and only not in name:
+            continue
+        for deployment in DEPLOYMENTS:
+            others = [item for item in DEPLOYMENTS if item != deployment]
+            if any(name.endswith(f"-{other}") for other in others):
+                continue
+            for control in WORLDS if baselines else ["marjoramvalve"]:
+                out.append(Job(name, deployment, control, scale, seed))
+    return out
+
+
+def main(only="", scale=0.25, seed=1, baselines=False, out=""):
+    """Prints the table; the JSON goes to `out` where given."""
+    with ProcessPoolExecutor(WORKERS) as pool:
+        rows = list(pool.map(run_job, jobs(only, scale, seed, baselines)))
+    for row in rows:
+        print(f"{row.scenario:20} {row.deployment:9} {row.control:14} calls {row.calls}")
+        for name, figure in row.figures.items():
+            mark = "  MISSED" if any(item.startswith(name) for item in row.missed) else ""
+            print(f"    {name:28} {figure:10.4f}{mark}")
+        for text in row.broken:
+            print(f"    BROKEN {text}")
+    if out:
+        Path(out).write_text(json.dumps([asdict(row) for row in rows], indent=1) + "\n")
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/src/marjoramvalve/scenario/__init__.py
+++ b/src/marjoramvalve/scenario/__init__.py
@@ -3,13 +3,14 @@
 from marjoramvalve.scenario.deployments import DEPLOYMENTS, Deployment, Service
 from marjoramvalve.scenario.figures import Figures
 from marjoramvalve.scenario.runs import ScenarioResult, run_scenario
-from marjoramvalve.scenario.scripts import ScriptFault, parse_script
+from marjoramvalve.scenario.scripts import Script, ScriptFault, parse_script
 
 __all__ = [
     "DEPLOYMENTS",
     "Deployment",
     "Figures",
     "ScenarioResult",
+    "Script",
     "ScriptFault",
     "Service",
     "parse_script",
--- a/src/marjoramvalve/scenario/runs.py
+++ b/src/marjoramvalve/scenario/runs.py
@@ -15,7 +15,6 @@
 from marjoramvalve.scenario.traces import Broken, Checker, Expected, Trace
 from marjoramvalve.scenario.worlds import INNER, World
 
-RATE_HEADROOM = 4.0
 POISON_TRIES = 8
 POLICY_RETRIES = 2
 
@@ -56,7 +55,7 @@
         self.keys = {name: f"mvk_{name}" for name in names}
         base = deployment.capacity()
         self.rates = {
-            name: (RATE_HEADROOM * base * share, RATE_HEADROOM * base * share)
+            name: (script.rate_factor * base * share, script.rate_factor * base * share)
             for name, share in zip(names, deployment.customers, strict=True)
         }
         self.clients = Clients(self.world, self.keys, script.load * base, seed)
--- a/src/marjoramvalve/scenario/scripts.py
+++ b/src/marjoramvalve/scenario/scripts.py
@@ -16,7 +16,8 @@
 at 5s withdraw key shed-3
 at 5s customer shed-3 sends poison
 at 5s patch rate of shed-3 to 50 burst 80
-run 30s
+rates 1.5 x share               customers' rates, against their shares of the capacity
+    run 30s
 expect goodput >= 0.9 from 5s to 20s
 expect recovery <= 5s after 20s
 expect worst customer >= 0.95 from 5s to 20s
@@ -32,7 +33,8 @@
 
 GRAMMAR = r"""
 start: line*
-line: load | at | run | expect
+line: load | at | run | expect | rates
+rates: "rates" NUMBER "x" "share"
 load: "load" NUMBER "of" "capacity"
 at: "at" time action
 run: "run" time
@@ -112,12 +114,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Script:
-    """A parsed scenario. `load` is a share of capacity, `seconds` its length."""
+    """A parsed scenario. `load` is a share of capacity, `seconds` its length.
+
+    `rate_factor` gives customers' rates as multiples of their shares of the capacity.
+    """
 
     load: float
     steps: tuple[Step, ...]
     seconds: float
     expectations: tuple[Expectation, ...]
+    rate_factor: float = 4.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -147,6 +153,9 @@
     def set_load(self, items):
         return items[0]
 
+    def rates(self, items):
+        return Action("rates", (items[0],))
+
     def at(self, items):
         return Step(*items)
 
@@ -165,13 +174,12 @@
         return Expectation(measure.kind, "".join(measure.args), compare == ">=", value, begin, end)
 
     def start(self, items):
-        load = next(item.args[0] for item in items if isinstance(item, Action))
+        plain = {item.kind: item.args[0] for item in items if isinstance(item, Action)}
         steps = sorted((item for item in items if isinstance(item, Step)), key=lambda s: s.at)
-        seconds = [
-            item.args[0] for item in items if isinstance(item, Action) and item.kind == "run"
-        ]
         expected = tuple(item for item in items if isinstance(item, Expectation))
-        return Script(load, tuple(steps), seconds[0], expected)
+        return Script(
+            plain["load"], tuple(steps), plain["run"], expected, plain.get("rates", 4.0)
+        )
 
     def __default__(self, data, children, meta):
         return Action(str(data), tuple(children))
@@ -188,5 +196,5 @@
         line = getattr(exc, "line", 0) or 0
         column = getattr(exc, "column", 0) or 0
         return ScriptFault(line, column, str(exc).splitlines()[0])
-    except (VisitError, StopIteration, IndexError) as exc:
+    except (VisitError, KeyError) as exc:
         return ScriptFault(0, 0, f"scenario needs a first load and a run: {exc}")
