Send to upstreams over lean connections with aiohttp's parser

Cause: the client session builds a request, a response, a timer and a task for each call. Change: a plain protocol with aiohttp's response parser and payload reader; warm pool by address.

--- /dev/null
+++ b/src/marjoramvalve/gateway/connections.py
@@ -0,0 +1,187 @@
+"""Lean connections to upstreams: aiohttp's parser on a plain protocol, no task and no timer a call.
+
+aiohttp's client session costs more than everything else on the way of a call; its parser and its
+payload reader, which this module keeps, do not.
+"""
+
+import asyncio
+from collections import deque
+from dataclasses import dataclass
+
+from aiohttp import StreamReader
+from aiohttp.base_protocol import BaseProtocol
+from aiohttp.http_exceptions import BadHttpMessage
+from aiohttp.http_parser import HttpResponseParser, RawResponseMessage
+
+READ_LIMIT_BYTES = 1 << 16
+MAX_LINE_BYTES = 16_384
+IDLE_S = 10.0
+CONNECT_S = 1.0
+SWEEP_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """The head of an answer, with its body still to be read from `payload`."""
+
+    message: RawResponseMessage
+    payload: StreamReader
+
+
+class UpstreamConnection(BaseProtocol):
+    """One connection, which carries one call at a time."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._parser: HttpResponseParser | None = None
+        self._parser_for_head = False
+        self._waiter: asyncio.Future[Head] | None = None
+        self._payload: StreamReader | None = None
+        self._upgraded = False
+        self.should_close = False
+        self.idle_since = 0.0
+
+    @property
+    def is_open(self) -> bool:
+        """Tells whether the connection can still be used."""
+        return self.transport is not None and not self.transport.is_closing()
+
+    def _set_parser(self, is_head: bool) -> None:
+        if self._parser is not None and not is_head and not self._parser_for_head:
+            return
+        self._parser_for_head = is_head
+        self._parser = HttpResponseParser(
+            self,
+            self._loop,
+            READ_LIMIT_BYTES,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+            response_with_body=not is_head,
+            read_until_eof=True,
+            auto_decompress=False,
+        )
+
+    def send(self, head: bytes, is_head: bool) -> asyncio.Future:
+        """Sends the head of a request, with a body that is at hand; returns the answer's head."""
+        self._set_parser(is_head)
+        self._waiter = self._loop.create_future()
+        self.transport.write(head)
+        return self._waiter
+
+    def write(self, data: bytes) -> None:
+        """Sends a part of a streamed body."""
+        self.transport.write(data)
+
+    async def drained(self) -> None:
+        """Waits until the transport takes more."""
+        await self._drain_helper()
+
+    def data_received(self, data: bytes) -> None:
+        """Feeds the parser."""
+        if self._waiter is None and (self._payload is None or self._payload.is_eof()):
+            self.abort()  # Nobody asked: what comes now must not meet the next request.
+            return
+        try:
+            messages, upgraded, tail = self._parser.feed_data(data)
+        except BadHttpMessage as exc:
+            self._fail(exc)
+            self.abort()
+            return
+        for message, payload in messages:
+            self._take(message, payload)
+        if upgraded or tail:
+            self.should_close = True
+
+    def _take(self, message: RawResponseMessage, payload: StreamReader) -> None:
+        waiter = self._waiter
+        if waiter is None:
+            self.abort()
+            return
+        if message.code < 200:
+            return
+        self._waiter = None
+        self._payload = payload
+        self.should_close = self.should_close or message.should_close
+        if not waiter.done():
+            waiter.set_result(Head(message, payload))
+
+    def _fail(self, exc: Exception) -> None:
+        waiter, self._waiter = self._waiter, None
+        if waiter is not None and not waiter.done():
+            waiter.set_exception(exc)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Ends the answer under way: as whole only where its length says so."""
+        super().connection_lost(exc)
+        if self._parser is not None:
+            try:
+                self._parser.feed_eof()
+            except Exception as problem:
+                if self._payload is not None and not self._payload.is_eof():
+                    self._payload.set_exception(problem)
+        if self._payload is not None and not self._payload.is_eof():
+            if self._payload.exception() is None:
+                self._payload.set_exception(ConnectionResetError("upstream closed"))
+        self._fail(ConnectionResetError("upstream closed before it answered"))
+
+    def abort(self) -> None:
+        """Closes the connection at once, which tells the upstream to stop."""
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class UpstreamPool:
+    """Kept connections by address. Those idle for long are closed."""
+
+    def __init__(self) -> None:
+        self._idle: dict[str, deque[UpstreamConnection]] = {}
+        self._sweeper: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        """Starts closing idle connections."""
+        loop = asyncio.get_running_loop()
+        self._sweeper = loop.call_later(SWEEP_S, self._sweep)
+
+    def close(self) -> None:
+        """Closes every idle connection."""
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        for conns in self._idle.values():
+            for conn in conns:
+                conn.abort()
+        self._idle.clear()
+
+    def _sweep(self) -> None:
+        loop = asyncio.get_running_loop()
+        limit = loop.time() - IDLE_S
+        for conns in self._idle.values():
+            while conns and (conns[0].idle_since < limit or not conns[0].is_open):
+                conns.popleft().abort()
+        self._sweeper = loop.call_later(SWEEP_S, self._sweep)
+
+    def take(self, address: str) -> UpstreamConnection | None:
+        """Returns the idle connection that was used last, or None."""
+        conns = self._idle.get(address)
+        while conns:
+            conn = conns.pop()
+            if conn.is_open:
+                return conn
+        return None
+
+    async def connect(self, address: str) -> UpstreamConnection:
+        """Opens a connection. Raises OSError or TimeoutError."""
+        loop = asyncio.get_running_loop()
+        host, _, port = address.rpartition(":")
+        async with asyncio.timeout(CONNECT_S):
+            _, conn = await loop.create_connection(
+                lambda: UpstreamConnection(loop), host, int(port)
+            )
+        return conn
+
+    def give_back(self, address: str, conn: UpstreamConnection, keep: bool) -> None:
+        """Keeps a connection whose answer was read whole; closes it otherwise."""
+        if not keep or conn.should_close or not conn.is_open:
+            conn.abort()
+            return
+        conn.idle_since = asyncio.get_running_loop().time()
+        self._idle.setdefault(address, deque()).append(conn)
--- a/src/marjoramvalve/gateway/forwards.py
+++ b/src/marjoramvalve/gateway/forwards.py
@@ -4,17 +4,14 @@
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
-import aiohttp
-from aiohttp import hdrs
+from aiohttp import ClientError, hdrs
+from aiohttp.http_exceptions import HttpProcessingError
 from multidict import CIMultiDict
-from yarl import URL
 
 from marjoramvalve.gateway import headers as h
+from marjoramvalve.gateway.connections import Head, UpstreamConnection, UpstreamPool
 
-IDLE_CONNECTION_S = 10.0
-CONNECT_S = 1.0
-SKIP_HEADERS = frozenset({"User-Agent", "Accept", "Accept-Encoding", "Content-Type"})
-TIMEOUTS = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_S)
+BROKEN = (ClientError, HttpProcessingError, OSError, ValueError)
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,12 +36,40 @@
     retries_spent: bool
 
 
-@dataclass(frozen=True, slots=True)
 class Streaming:
-    """An answer whose head has come and whose body is still to be read."""
+    """An answer whose head has come and whose body is still to be read.
+
+    It must be ended with `finish` after the body was read whole, or with `abort`.
+    """
+
+    def __init__(self, head: Head, conn: UpstreamConnection, first: bytes, release) -> None:
+        self.status = head.message.code
+        self.headers = head.message.headers
+        self.first = first
+        self._payload = head.payload
+        self._conn = conn
+        self._release = release
+
+    @property
+    def length(self) -> int | None:
+        """Length that the head announced, or None."""
+        text = self.headers.get(hdrs.CONTENT_LENGTH, "")
+        return int(text) if text.isdigit() else None
 
-    response: aiohttp.ClientResponse
-    head: bytes
+    async def parts(self) -> AsyncIterator[bytes]:
+        """Yields the rest of the body. Raises an error of `BROKEN` where it is not whole."""
+        while not self._payload.at_eof():
+            part = await self._payload.readany()
+            if part:
+                yield part
+
+    def finish(self) -> None:
+        """Keeps the connection for other calls."""
+        self._release(True)
+
+    def abort(self) -> None:
+        """Closes the connection."""
+        self._conn.abort()
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,97 +99,107 @@
 
     def __init__(self, buffer_bytes: int) -> None:
         self._buffer_bytes = buffer_bytes
-        self._pooled: aiohttp.ClientSession | None = None
-        self._single: aiohttp.ClientSession | None = None
-        self._bases: dict[str, URL] = {}
+        self._pool = UpstreamPool()
 
     async def start(self) -> None:
-        """Opens the sessions."""
-        self._pooled = _session(aiohttp.TCPConnector(limit=0, keepalive_timeout=IDLE_CONNECTION_S))
-        self._single = _session(aiohttp.TCPConnector(limit=0, force_close=True))
+        """Starts the care of kept connections."""
+        self._pool.start()
 
     async def close(self) -> None:
-        """Closes the sessions."""
-        await self._pooled.close()
-        await self._single.close()
+        """Closes the kept connections."""
+        self._pool.close()
 
     async def send(self, address: str, out: Outgoing) -> Attempt:
         """Makes one attempt. Cancellation closes the connection, which tells the upstream."""
-        session = self._pooled if out.repeatable else self._single
-        url = URL(f"http://{address}{out.target}", encoded=True)
+        conn = self._pool.take(address) if out.repeatable else None
+        if conn is None:
+            try:
+                conn = await self._pool.connect(address)
+            except (OSError, TimeoutError) as exc:
+                return NotSent(f"upstream at {address} takes no connection: {exc!r}")
+        whole = False
         try:
-            response = await session.request(
-                out.method,
-                url,
-                headers=out.headers,
-                data=out.body,
-                allow_redirects=False,
-                skip_auto_headers=SKIP_HEADERS,
-            )
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
-            return NotSent(str(exc))
-        except (aiohttp.ClientError, OSError, ValueError) as exc:
-            return Broken(f"upstream gave no answer: {exc}", _died(exc))
-        return await self._read(response, out.method)
-
-    async def _read(self, response: aiohttp.ClientResponse, method: str) -> Attempt:
-        if _has_no_body(response, method):
-            response.release()
-            return _whole(response, b"")
-        length = response.headers.get(hdrs.CONTENT_LENGTH, "")
-        if length.isdigit() and int(length) > self._buffer_bytes:
-            return Streaming(response, b"")
+            result = await self._exchange(address, conn, out)
+            whole = not isinstance(result, Broken)
+            return result
+        except BROKEN as exc:
+            died = isinstance(exc, OSError | ClientError)
+            return Broken(f"upstream gave no whole answer: {exc}", died)
+        finally:
+            if not whole:
+                conn.abort()
+
+    async def _exchange(self, address: str, conn: UpstreamConnection, out: Outgoing) -> Attempt:
+        raw = _request_head(address, out)
+        streamed = out.body is not None and not isinstance(out.body, bytes)
+        if out.body is not None and not streamed:
+            raw += out.body
+        waiter = conn.send(raw, out.method == "HEAD")
+        if streamed:
+            await _send_body(conn, waiter, out)
+        head = await waiter
+        return await self._read(address, conn, head, out)
+
+    async def _read(
+        self, address: str, conn: UpstreamConnection, head: Head, out: Outgoing
+    ) -> Attempt:
+        def release(keep: bool) -> None:
+            self._pool.give_back(address, conn, keep and out.repeatable)
+
+        payload = head.payload
         chunks = []
         size = 0
-        try:
-            async for chunk in response.content.iter_any():
-                chunks.append(chunk)
-                size += len(chunk)
-                if size > self._buffer_bytes:
-                    return Streaming(response, b"".join(chunks))
-        except (aiohttp.ClientError, OSError) as exc:
-            response.close()
-            return Broken(f"answer of upstream ended early: {exc}", True)
-        except asyncio.CancelledError:
-            response.close()
-            raise
-        body = b"".join(chunks)
-        if length.isdigit() and int(length) != size:
-            response.close()
+        length = head.message.headers.get(hdrs.CONTENT_LENGTH, "")
+        has_body = out.method != "HEAD" and head.message.code not in (204, 304)
+        if has_body and length.isdigit() and int(length) > self._buffer_bytes:
+            return Streaming(head, conn, b"", release)
+        while has_body and not payload.at_eof():
+            chunk = await payload.readany()
+            chunks.append(chunk)
+            size += len(chunk)
+            if size > self._buffer_bytes:
+                return Streaming(head, conn, b"".join(chunks), release)
+        if has_body and length.isdigit() and int(length) != size:
             return Broken(f"answer of upstream has {size} of {length} bytes", True)
-        response.release()
-        return _whole(response, body)
-
-
-def _session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
-    session = aiohttp.ClientSession(
-        connector=connector,
-        cookie_jar=aiohttp.DummyCookieJar(),
-        auto_decompress=False,
-        timeout=TIMEOUTS,
-        trust_env=False,
-    )
-    # The library would send some methods a second time by itself after a broken connection;
-    # retries are this project's to count.
-    session._retry_connection = False
-    return session
-
-
-def _died(exc: Exception) -> bool:
-    return isinstance(
-        exc, aiohttp.ServerDisconnectedError | aiohttp.ClientOSError | ConnectionResetError
-    )
-
-
-def _has_no_body(response: aiohttp.ClientResponse, method: str) -> bool:
-    return method == "HEAD" or response.status in (204, 304)
-
-
-def _whole(response: aiohttp.ClientResponse, body: bytes) -> Whole:
+        release(True)
+        return _whole(head, b"".join(chunks))
+
+
+async def _send_body(conn: UpstreamConnection, waiter: asyncio.Future, out: Outgoing) -> None:
+    """Sends a streamed body; stops early where the upstream has answered already."""
+    chunked = hdrs.CONTENT_LENGTH not in out.headers
+    async for part in out.body:
+        if waiter.done():
+            conn.should_close = True
+            return
+        conn.write(b"%x\r\n%b\r\n" % (len(part), part) if chunked else part)
+        await conn.drained()
+    if chunked:
+        conn.write(b"0\r\n\r\n")
+
+
+def _request_head(address: str, out: Outgoing) -> bytes:
+    lines = [f"{out.method} {out.target} HTTP/1.1"]
+    headers = out.headers
+    if hdrs.HOST not in headers:
+        lines.append(f"Host: {address}")
+    lines.extend([f"{name}: {value}" for name, value in headers.items()])
+    if isinstance(out.body, bytes):
+        lines.append(f"Content-Length: {len(out.body)}")
+    elif out.body is not None and hdrs.CONTENT_LENGTH not in headers:
+        lines.append("Transfer-Encoding: chunked")
+    elif out.body is None and out.method in ("POST", "PUT", "PATCH"):
+        lines.append("Content-Length: 0")
+    lines.append("\r\n")
+    return "\r\n".join(lines).encode("utf-8", "surrogateescape")
+
+
+def _whole(head: Head, body: bytes) -> Whole:
+    headers = head.message.headers
     return Whole(
-        response.status,
-        h.returned_headers(response.headers),
+        head.message.code,
+        h.returned_headers(headers),
         body,
-        response.headers.get(h.RUN) == "not-run",
-        h.RETRIES_SPENT in response.headers,
+        headers.get(h.RUN) == "not-run",
+        h.RETRIES_SPENT in headers,
     )
--- a/src/marjoramvalve/gateway/handlers.py
+++ b/src/marjoramvalve/gateway/handlers.py
@@ -5,14 +5,22 @@
 from dataclasses import dataclass
 
 import structlog
-from aiohttp import ClientError, web
+from aiohttp import web
 from multidict import CIMultiDict
 
 from marjoramvalve.admission import SlotDemand
 from marjoramvalve.gateway import headers as h
 from marjoramvalve.gateway.answers import problem_answer
 from marjoramvalve.gateway.contexts import Context
-from marjoramvalve.gateway.forwards import Broken, Forwarder, NotSent, Outgoing, Streaming, Whole
+from marjoramvalve.gateway.forwards import (
+    BROKEN,
+    Broken,
+    Forwarder,
+    NotSent,
+    Outgoing,
+    Streaming,
+    Whole,
+)
 from marjoramvalve.gateway.idempotency import Begun, OnceClient, Replay, StoredAnswer
 from marjoramvalve.gateway.journals import Journal
 from marjoramvalve.gateway.rates import RateClient
@@ -570,25 +578,23 @@
         self, request: web.BaseRequest, call: Call, streaming: Streaming
     ) -> web.StreamResponse:
         """Passes an answer on as it comes; breaks the caller's connection where it is not whole."""
-        source = streaming.response
-        answer = web.StreamResponse(
-            status=source.status, headers=h.returned_headers(source.headers)
-        )
+        headers = h.returned_headers(streaming.headers)
+        answer = web.StreamResponse(status=streaming.status, headers=headers)
         answer.headers[h.REQUEST_ID] = call.request_id
-        if source.content_length is None:
+        if streaming.length is None:
             answer.enable_chunked_encoding()
         try:
             async with asyncio.timeout(max(0.001, call.deadline - self._context.clock())):
                 await self._copy(request, answer, streaming)
-        except (OSError, TimeoutError, ClientError) as exc:
+        except (*BROKEN, TimeoutError) as exc:
             log.warning("call.cut", request=call.request_id, error=repr(exc))
             self._context.counters.add("calls", "cut")
-            source.close()
+            streaming.abort()
             if request.transport is not None:
                 request.transport.abort()
             raise asyncio.CancelledError from exc
         except asyncio.CancelledError:
-            source.close()
+            streaming.abort()
             raise
         return answer
 
@@ -597,13 +603,13 @@
     ) -> None:
         write_timeout = self._context.cfg.write_timeout
         await answer.prepare(request)
-        if streaming.head:
-            await answer.write(streaming.head)
-        async for chunk in streaming.response.content.iter_any():
+        if streaming.first:
+            await answer.write(streaming.first)
+        async for chunk in streaming.parts():
             async with asyncio.timeout(write_timeout):
                 await answer.write(chunk)
         await answer.write_eof()
-        streaming.response.release()
+        streaming.finish()
 
 
 def _mark(request: web.BaseRequest, call: Call) -> str:
--- a/src/marjoramvalve/scenario/scripts.py
+++ b/src/marjoramvalve/scenario/scripts.py
@@ -177,9 +177,7 @@
         plain = {item.kind: item.args[0] for item in items if isinstance(item, Action)}
         steps = sorted((item for item in items if isinstance(item, Step)), key=lambda s: s.at)
         expected = tuple(item for item in items if isinstance(item, Expectation))
-        return Script(
-            plain["load"], tuple(steps), plain["run"], expected, plain.get("rates", 4.0)
-        )
+        return Script(plain["load"], tuple(steps), plain["run"], expected, plain.get("rates", 4.0))
 
     def __default__(self, data, children, meta):
         return Action(str(data), tuple(children))
