--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,7 @@
 
 bench-slopes: install
 	$(BIN)/python -m benches.slopes $(ARGS)
+
+.PHONY: bench-chaos
+bench-chaos: install
+	$(BIN)/python -m benches.chaos $(ARGS)
