--- a/src/marjoramvalve/fakes/upstreams.py
+++ b/src/marjoramvalve/fakes/upstreams.py
@@ -19,7 +19,10 @@
 
 @dataclass(frozen=True, slots=True)
 class FakeUpstreamOptions:
-    """What a stand-in upstream does. `calls` is a path of a sub-call made for each request."""
+    """What a stand-in upstream does. `calls` is a path of a sub-call made for each request.
+
+    Above its slots it sheds, or with `queue` lets requests wait, as an upstream without limits.
+    """
 
     name: str
     service: str
@@ -30,6 +33,7 @@
     connections: int = 200
     delay_ms: float = 5.0
     calls: str = ""
+    queue: bool = False
 
 
 class FakeUpstream:
@@ -50,6 +54,7 @@
         self.late = 0
         self.leaked = 0
         self._running = 0
+        self._room = asyncio.Semaphore(options.slots)
         self._started = time.monotonic()
         self._incarnation = int(time.time() * 1000)
         self._runner: web.AppRunner | None = None
@@ -122,9 +127,16 @@
         body = await request.read()
         if self._running >= self.options.slots:
             self.peak_over += 1
+        if self.options.queue:
+            async with self._room:
+                return await self._work(request, body)
+        if self._running >= self.options.slots:
             return web.Response(status=503, headers={"Marjoramvalve-Run": "not-run"})
         if request.headers.get(CRASH_HEADER):
             os.kill(os.getpid(), signal.SIGKILL)
+        return await self._work(request, body)
+
+    async def _work(self, request: web.Request, body: bytes) -> web.Response:
         self._running += 1
         self.most_running = max(self.most_running, self._running)
         order = request.headers.get("Idempotency-Key", "")
