--- a/src/marjoramvalve/admission/owners.py
+++ b/src/marjoramvalve/admission/owners.py
@@ -141,6 +141,15 @@
         """Returns the instances still to be asked."""
         return tuple(sorted(self._unreported))
 
+    def restarted(self, info: UpstreamInfo, limit: Limit) -> None:
+        """Takes up a new process of the upstream.
+
+        Sessions go on: a caller may still start calls on the slots it was leased, and these
+        reach the new process.
+        """
+        self.info = info
+        self.limit = limit
+
     def gone(self, name: str) -> None:
         """Notes that an instance has not existed for longer than any lease and call."""
         self._unreported.discard(name)
--- a/src/marjoramvalve/daemon/slots.py
+++ b/src/marjoramvalve/daemon/slots.py
@@ -31,8 +31,10 @@
         now = self._context.clock()
         for item in self._upstreams.all():
             owner = self._owners.get(item.info.name)
-            if owner is None or owner.info.incarnation != item.info.incarnation:
+            if owner is None:
                 self._owners[item.info.name] = self._start(item, now)
+            elif owner.info != item.info:
+                owner.restarted(item.info, AimdLimit(item.info.slots))
             self._owners[item.info.name].draining = item.status is not UpstreamStatus.UP
         for name in self._owners.keys() - {item.info.name for item in self._upstreams.all()}:
             del self._owners[name]
--- a/src/marjoramvalve/gateway/slots.py
+++ b/src/marjoramvalve/gateway/slots.py
@@ -27,6 +27,7 @@
     owner: str
     domain: str
     caller: SlotCaller
+    serial: int
     refused_until: float = 0.0
 
 
@@ -38,7 +39,7 @@
     name: str
     address: str
     owner: str
-    generation: int
+    serial: int
 
 
 class SlotClient:
@@ -88,8 +89,8 @@
 
     def _set_target(self, info: UpstreamInfo, peer: str, owner: str, domain: str) -> None:
         known = self._targets.get(info.name)
-        if known is not None and known.info.incarnation == info.incarnation:
-            known.info, known.peer, known.owner = info, peer, owner
+        if known is not None and known.peer == peer:
+            known.info = info
             return
         if known is not None:
             self._drop_target(info.name)
@@ -97,14 +98,14 @@
         self._session += 1
         now = self._context.clock()
         caller = SlotCaller(info.name, self._session, renew, now)
-        self._targets[info.name] = _Target(info, peer, owner, domain, caller)
+        self._targets[info.name] = _Target(info, peer, owner, domain, caller, self._session)
 
     def _drop_target(self, name: str) -> None:
         target = self._targets.pop(name, None)
         self._dirty.discard(name)
         if target is not None:
             target.caller.retire()
-            self._retired[name, target.info.incarnation] = target
+            self._retired[name, target.serial] = target
             self._ask(target)
         for key in [key for key in self._waits if key[0] == name]:
             self._resolve(key, 0)
@@ -144,7 +145,7 @@
 
     def _held(self, target: _Target, slot: int) -> SlotHeld:
         info = target.info
-        return SlotHeld(slot, info.name, info.address, target.owner, info.incarnation)
+        return SlotHeld(slot, info.name, info.address, target.owner, target.serial)
 
     def _choose(self, service: str, avoid: frozenset[str]) -> _Target | None:
         now = self._context.clock()
@@ -204,8 +205,8 @@
     def give_back(self, held: SlotHeld) -> None:
         """Gives a slot back."""
         target = self._targets.get(held.name)
-        if target is None or target.info.incarnation != held.generation:
-            target = self._retired.get((held.name, held.generation))
+        if target is None or target.serial != held.serial:
+            target = self._retired.get((held.name, held.serial))
         if target is not None:
             self._give_back_to(target, held.slot)
 
--- a/src/marjoramvalve/scenario/worlds.py
+++ b/src/marjoramvalve/scenario/worlds.py
@@ -48,7 +48,7 @@
     def request(self, body, address, now):
         """Answers a request and notes what was drawn."""
         answer = super().request(body, address, now)
-        if answer.granted:
+        if answer.granted and not body.deficit:  # With a deficit, tokens move between owners.
             self._trace.draws.append(
                 Drawn(asyncio.get_running_loop().time(), body.customer, answer.granted)
             )
