Move tokens between owners on request only, whole or put together from parts

Change: loans count only for requests asked and in time; an owner tells of its lack, and a full one offers; parts of tokens in several domains are put together; lots hold only whole expected calls.

--- a/src/marjoramvalve/daemon/buckets.py
+++ b/src/marjoramvalve/daemon/buckets.py
@@ -4,12 +4,16 @@
 
 from marjoramvalve.gateway import Context
 from marjoramvalve.membership import bucket_owner
-from marjoramvalve.rates import BucketOwners, Share
-from marjoramvalve.wire.messages import LotAnswer, LotRequest, TokenTransfer
+from marjoramvalve.rates import LOT_LIFE_S, BucketOwners, Share
+from marjoramvalve.wire.messages import LotAnswer, LotRequest, TokenOffer, TokenTransfer
 
 PULL_INTERVAL_S = 0.05
 PULL_BELOW = 0.5
+LEAST_DEFICIT = 0.5
+OFFER_PART = 0.25
+TELL_INTERVAL_S = 0.25
 REMEMBERED_ANSWERS = 4096
+ASKED_S = 1.0
 
 
 class BucketHost:
@@ -20,7 +24,9 @@
         self._owners = BucketOwners(context.cfg.config_lease, context.cfg.clock_drift)
         self._answered: OrderedDict[tuple[str, int], LotAnswer] = OrderedDict()
         self._pulled_at = 0.0
-        self._nonce = context.incarnation
+        self._nonce = -context.incarnation  # Apart from those of the calls' own requests.
+        self._asked: dict[int, float] = {}
+        self._told_at: dict[str, float] = {}
 
     def sync(self) -> None:
         """Takes over and gives up buckets as configuration and roster say.
@@ -70,42 +76,64 @@
 
     def on_transfer(self, body: TokenTransfer) -> None:
         """Takes in tokens from the owner in another domain, or from an earlier owner."""
-        if body.placement_epoch == self._context.view.roster.placement_epoch:
-            self._owners.add(body.customer, body.tokens, self._context.clock())
+        if body.placement_epoch != self._context.view.roster.placement_epoch:
+            return
+        take = self._owners.take_back if body.unused else self._owners.add
+        take(body.customer, body.tokens, self._context.clock())
 
     def on_loan(self, body: LotAnswer) -> None:
-        """Takes in tokens that this owner asked another one for."""
-        self._owners.add(body.customer, body.granted, self._context.clock())
+        """Takes in tokens that this owner asked another one for.
+
+        Any other answer is one that comes twice or too late, and its tokens are gone.
+        """
+        now = self._context.clock()
+        asked_at = self._asked.pop(body.nonce, None)
+        if asked_at is not None and now < asked_at + LOT_LIFE_S:
+            self._owners.add(body.customer, body.granted, now)
+
+    def on_offer(self, address: str, body: TokenOffer) -> None:
+        """Asks for what another owner's bucket can't hold."""
+        now = self._context.clock()
+        deficit = self._owners.deficit(body.customer, now)
+        if deficit >= LEAST_DEFICIT:
+            self._borrow(address, body.customer, deficit * OFFER_PART, deficit, now)
 
     def tick(self) -> None:
         """Moves tokens between domains: surplus out, and lack in."""
         now = self._context.clock()
-        view = self._context.view
-        for push in self._owners.overflow(view.roster.placement_epoch, now):
-            self._context.cast(push.address, push.body)
+        for offer in self._owners.offers(now):
+            self._context.cast(offer.address, offer.body)
         if now < self._pulled_at + PULL_INTERVAL_S:
             return
         self._pulled_at = now
+        self._asked = {nonce: at for nonce, at in self._asked.items() if at > now - ASKED_S}
         for customer in self._owners.customers():
             self._pull(customer, now)
 
     def _pull(self, customer: str, now: float) -> None:
+        """Asks the owners in other domains for tokens, or only tells them of a lack.
+
+        An owner that knows of a lack tells when its own bucket overflows.
+        """
         view = self._context.view
         deficit = self._owners.deficit(customer, now)
         domains = {item.domain for item in view.roster.members}
         item = view.document.customers.get(customer)
-        if item is None or deficit < max(1.0, PULL_BELOW * item.burst / len(domains)):
+        if item is None or deficit < LEAST_DEFICIT:
             return
+        dry = deficit >= PULL_BELOW * item.burst / len(domains)
+        if not dry and now < self._told_at.get(customer, 0.0) + TELL_INTERVAL_S:
+            return
+        self._told_at[customer] = now
+        want = deficit / len(domains) if dry else 0.0
         for domain in domains - {self._context.cfg.domain}:
             owner = bucket_owner(view.roster, customer, domain)
-            self._nonce += 1
-            body = LotRequest(
-                customer,
-                view.roster.placement_epoch,
-                1.0,
-                deficit / len(domains),
-                self._nonce,
-                True,
-                deficit / len(domains),
-            )
-            self._context.cast(owner.peer, body)
+            self._borrow(owner.peer, customer, want, deficit, now)
+
+    def _borrow(self, address: str, customer: str, want: float, deficit: float, now: float) -> None:
+        self._nonce -= 1
+        self._asked[self._nonce] = now
+        epoch = self._context.view.roster.placement_epoch
+        need = min(1.0, want)
+        body = LotRequest(customer, epoch, need, want, self._nonce, True, deficit)
+        self._context.cast(address, body)
--- a/src/marjoramvalve/daemon/cores.py
+++ b/src/marjoramvalve/daemon/cores.py
@@ -199,6 +199,8 @@
                     self.bucket_host.on_loan(body)
             case m.LotRequest():
                 self.bucket_host.on_request(envelope.address, body)
+            case m.TokenOffer():
+                self.bucket_host.on_offer(envelope.address, body)
             case m.TokenTransfer():
                 self.bucket_host.on_transfer(body)
             case m.Poll():
--- a/src/marjoramvalve/gateway/handlers.py
+++ b/src/marjoramvalve/gateway/handlers.py
@@ -29,6 +29,7 @@
 from marjoramvalve.once import KeyProblem, parse_key, request_digest
 from marjoramvalve.outcomes import Reason, Refusal, Run, refuse
 from marjoramvalve.retries import (
+    CRASHES_TO_QUARANTINE,
     CallToken,
     ChainBudget,
     QuarantineBook,
@@ -465,6 +466,8 @@
 
     def _observe(self, held: SlotHeld, result, latency_s: float) -> None:
         match result:
+            case Whole(status=status, shed=False) if status == HTTP_UPSTREAM_ERROR:
+                self._slots.observe(held, latency_s, False, True)
             case Whole(shed=shed):
                 self._slots.observe(held, latency_s, shed, False)
             case Streaming():
@@ -485,7 +488,7 @@
             case Broken(detail, died):
                 crashes = self._note_crash(request, call) if died else 0
                 refusal = refuse(Reason.UPSTREAM_FAILED, detail, Run.UNKNOWN)
-                return refusal, may_retry and repeatable and crashes < 2
+                return refusal, may_retry and repeatable and crashes < CRASHES_TO_QUARANTINE
             case Whole(shed=True):
                 again = may_retry and call.body is not None
                 return self._answer(call, outcome, not again), again
@@ -498,7 +501,10 @@
                 return outcome, False
 
     def _note_crash(self, request: web.BaseRequest, call: Call) -> int:
-        """Counts a crash against the request's fingerprint and tells the failure domain."""
+        """Counts a crash against the request's fingerprint and tells the failure domain.
+
+        Once it is quarantined the whole fleet is told, or each domain would lose two upstreams.
+        """
         if call.body is None:
             return 0
         mark = _mark(request, call)
@@ -506,8 +512,9 @@
         ttl = self._context.view.document.policy.quarantine_s
         crashes = self.quarantine.crashed(mark, ttl, self._context.clock())
         log.warning("call.crash_suspect", request=call.request_id, crashes=crashes)
+        everywhere = crashes >= CRASHES_TO_QUARANTINE
         for member in self._context.view.roster.members:
-            if member.domain == self._context.cfg.domain:
+            if everywhere or member.domain == self._context.cfg.domain:
                 self._context.cast(member.peer, Quarantine(mark, crashes, ttl))
         return crashes
 
--- a/src/marjoramvalve/gateway/rates.py
+++ b/src/marjoramvalve/gateway/rates.py
@@ -8,11 +8,12 @@
 from marjoramvalve.outcomes import Reason, Refusal, Run, refuse
 from marjoramvalve.rates import LotBook, LotOutcome
 from marjoramvalve.retries import retry_after
-from marjoramvalve.wire.messages import LotAnswer, LotRequest
+from marjoramvalve.wire.messages import LotAnswer, LotRequest, TokenTransfer
 
 RESEND_S = 0.02
 TRIES = 3
 DRY_MOST_S = 0.02
+ROUNDING = 1e-9
 UNREACHABLE_RETRY_S = 0.5
 
 
@@ -90,13 +91,15 @@
         if isinstance(granted, _Denied):
             self._deny(customer, batch, need, granted)
             return
-        for _ in range(min(int(granted), len(batch.waiting))):
+        for _ in range(min(int(granted), need)):
             fut = batch.waiting.pop(0)
             granted -= 1
             if not fut.done():
                 fut.set_result(None)
-        if granted > 0:
-            self._lots.put(customer, granted, asked_at, self._context.clock())
+        whole = int(granted)
+        if whole:
+            self._lots.put(customer, whole, asked_at, self._context.clock())
+        self._give_back(customer, self._owner_addresses(customer)[0], granted - whole)
 
     def _deny(self, customer: str, batch: _Batch, need: int, denied: _Denied) -> None:
         """Refuses the calls that waited when the owners were asked.
@@ -118,18 +121,41 @@
             fut.set_result(refuse(Reason.NO_UPSTREAM, detail, Run.NOT_RUN, wait))
 
     async def _gather(self, customer: str, need: int) -> float | _Denied:
-        """Asks the own domain's owner, then those of the other domains."""
-        waits = []
-        lend = False
-        for address in self._owner_addresses(customer):
-            answer = await self._ask(address, customer, need, lend)
-            lend = True
-            if answer is None or not answer.known:
-                continue
-            if answer.granted > 0:
-                return answer.granted
-            waits.append(answer.retry_after_s)
-        return _Denied(min(waits, default=UNREACHABLE_RETRY_S), bool(waits))
+        """Asks the own domain's owner, then puts together what the others have.
+
+        Each may hold a part of a token, and the parts add up. What does not make a whole one is
+        given to the own domain's owner, where the next call finds it.
+        """
+        addresses = self._owner_addresses(customer)
+        if not addresses:
+            return _Denied(UNREACHABLE_RETRY_S, False)
+        answer = await self._ask(addresses[0], customer, need, False, False)
+        known = answer is not None and answer.known
+        if known and answer.granted >= 1:
+            return answer.granted
+        gathered = 0.0
+        for position, address in enumerate([*addresses[1:], addresses[0]]):
+            lend = position < len(addresses) - 1
+            answer = await self._ask(address, customer, need, lend, True)
+            if answer is not None and answer.known:
+                known = True
+                gathered += answer.granted
+            if gathered >= need:
+                break
+        if gathered >= 1 - ROUNDING:
+            return gathered + ROUNDING
+        return self._put_back(customer, addresses[0], gathered, known)
+
+    def _give_back(self, customer: str, address: str, tokens: float) -> None:
+        if tokens > ROUNDING:
+            epoch = self._context.view.roster.placement_epoch
+            self._context.cast(address, TokenTransfer(customer, epoch, tokens, True))
+
+    def _put_back(self, customer: str, address: str, gathered: float, known: bool) -> _Denied:
+        self._give_back(customer, address, gathered)
+        item = self._context.view.document.customers.get(customer)
+        wait = (1 - gathered) / item.rate if item and known else UNREACHABLE_RETRY_S
+        return _Denied(wait, known)
 
     def _owner_addresses(self, customer: str) -> tuple[str, ...]:
         roster = self._context.view.roster
@@ -145,12 +171,14 @@
             self._owners[customer] = found
         return found
 
-    async def _ask(self, address: str, customer: str, need: int, lend: bool) -> LotAnswer | None:
+    async def _ask(
+        self, address: str, customer: str, need: int, lend: bool, partial: bool
+    ) -> LotAnswer | None:
         self._nonce += 1
         nonce = self._nonce
-        want = need if lend else need + self._lots.want(customer)
+        want = need if partial else need + self._lots.want(customer)
         epoch = self._context.view.roster.placement_epoch
-        body = LotRequest(customer, epoch, float(need), float(want), nonce, lend)
+        body = LotRequest(customer, epoch, float(need), float(want), nonce, lend, 0.0, partial)
         fut = asyncio.get_running_loop().create_future()
         self._answers[nonce] = fut
         try:
--- a/src/marjoramvalve/rates/__init__.py
+++ b/src/marjoramvalve/rates/__init__.py
@@ -2,6 +2,6 @@
 
 from marjoramvalve.rates.buckets import TokenBucket
 from marjoramvalve.rates.lots import Lot, LotBook, LotOutcome
-from marjoramvalve.rates.owners import BucketOwners, Share
+from marjoramvalve.rates.owners import LOT_LIFE_S, BucketOwners, Share
 
-__all__ = ["BucketOwners", "Lot", "LotBook", "LotOutcome", "Share", "TokenBucket"]
+__all__ = ["LOT_LIFE_S", "BucketOwners", "Lot", "LotBook", "LotOutcome", "Share", "TokenBucket"]
--- a/src/marjoramvalve/rates/buckets.py
+++ b/src/marjoramvalve/rates/buckets.py
@@ -37,6 +37,11 @@
         self.tokens = min(self.room, total)
         return total - self.tokens
 
+    def available(self, now: float) -> float:
+        """Returns the tokens that are there."""
+        self.refill(now)
+        return self.tokens
+
     def take(self, need: float, want: float, now: float) -> float:
         """Takes up to `want` tokens, at least `need`, or none."""
         self.refill(now)
--- a/src/marjoramvalve/rates/lots.py
+++ b/src/marjoramvalve/rates/lots.py
@@ -24,7 +24,7 @@
     expires: float
     calls: int = 0
     window_start: float = 0.0
-    demand: float = 1.0
+    demand: float = 0.0
 
 
 class LotBook:
@@ -54,9 +54,12 @@
             lot.window_start = now
 
     def want(self, customer: str) -> float:
-        """Returns how many tokens to ask for: the demand of one window, at least one."""
+        """Returns how many tokens to ask for beyond need: the whole calls of one window.
+
+        An instance with few calls holds none: its tokens would expire unused.
+        """
         lot = self._lots.get(customer)
-        return max(1.0, float(int(lot.demand + 0.5))) if lot else 1.0
+        return float(int(lot.demand)) if lot else 0.0
 
     def put(self, customer: str, tokens: float, asked_at: float, now: float) -> bool:
         """Adds granted tokens; False where they came too late to be used.
--- a/src/marjoramvalve/rates/owners.py
+++ b/src/marjoramvalve/rates/owners.py
@@ -1,15 +1,15 @@
 """Owners of customers' buckets: one for each customer and failure domain.
 
 The domains' shares of a customer's rate and burst add up to the whole. Tokens move between
-owners one way, and a lost transfer loses them, so that the sum over the fleet never exceeds
-burst + rate x t. A new owner starts empty, and gains nothing until the lease under which the
-earlier owner may still have been giving has run out.
+owners one way, on request, and a lost or late answer loses them, so that the sum over the fleet
+never exceeds burst + rate x t. A new owner starts empty, and gains nothing until the lease under
+which the earlier owner may still have been giving has run out.
 """
 
 from dataclasses import dataclass
 
 from marjoramvalve.rates.buckets import TokenBucket
-from marjoramvalve.wire.messages import LotAnswer, LotRequest, TokenTransfer
+from marjoramvalve.wire.messages import LotAnswer, LotRequest, TokenOffer
 
 LOT_S = 0.02
 LOT_LIFE_S = 0.06
@@ -29,15 +29,15 @@
 class _Owned:
     bucket: TokenBucket
     starts_at: float
-    debtors: dict[str, tuple[float, float]]
+    debtors: dict[str, float]
 
 
 @dataclass(frozen=True, slots=True)
-class Push:
-    """A transfer to send to the owner in another domain, by its peer address."""
+class Offer:
+    """An offer to send to the owner in another domain, by its peer address."""
 
     address: str
-    body: TokenTransfer
+    body: TokenOffer
 
 
 class BucketOwners:
@@ -82,11 +82,15 @@
         if item is None:
             return LotAnswer(body.customer, body.nonce, 0.0, 0.0, False)
         most = self._most(item, body, now)
-        granted = item.bucket.take(1.0, most, now)
-        if not body.lend:
-            item.bucket.lend(granted - min(granted, body.need), now + LOT_LIFE_S * self._stretch)
-        if body.lend and body.deficit > granted:
-            item.debtors[address] = (now, body.deficit - granted)
+        if not body.partial and not body.lend:
+            most = float(int(min(most, item.bucket.available(now))))
+        granted = item.bucket.take(0.0 if body.partial else 1.0, most, now)
+        life = LOT_LIFE_S * self._stretch
+        if body.deficit:
+            item.bucket.lend(granted, now + life)
+            item.debtors[address] = now
+        elif not body.lend:
+            item.bucket.lend(granted - min(granted, body.need), now + life)
         wait = 0.0 if granted else item.bucket.wait_s(1.0, now)
         wait += max(0.0, item.starts_at - now)
         return LotAnswer(body.customer, body.nonce, granted, min(wait, 60.0), True)
@@ -112,19 +116,22 @@
         if item is not None:
             item.bucket.add(tokens, now)
 
-    def overflow(self, placement_epoch: int, now: float) -> list[Push]:
-        """Returns transfers of tokens that do not fit here to owners that lack them."""
-        pushes = []
+    def take_back(self, customer: str, tokens: float, now: float) -> None:
+        """Takes in tokens that were drawn for a call and not used."""
+        self.add(customer, tokens, now)
+
+    def offers(self, now: float) -> list[Offer]:
+        """Returns whom to tell that a bucket here overflows while theirs has room.
+
+        Tokens themselves move only on request: a lender counts them against its burst for as
+        long as the answer may be on its way, and a late answer is not taken.
+        """
+        out = []
         for customer, item in self._owned.items():
             spare = item.bucket.refill(now)
-            for address, (asked_at, lacking) in list(item.debtors.items()):
-                if now > asked_at + DEBTOR_S or lacking <= 0:
+            for address, told_at in list(item.debtors.items()):
+                if now > told_at + DEBTOR_S:
                     del item.debtors[address]
-                    continue
-                moved = min(spare, lacking)
-                if moved > 0:
-                    spare -= moved
-                    item.debtors[address] = (asked_at, lacking - moved)
-                    body = TokenTransfer(customer, placement_epoch, moved)
-                    pushes.append(Push(address, body))
-        return pushes
+                elif spare > 0:
+                    out.append(Offer(address, TokenOffer(customer)))
+        return out
--- a/src/marjoramvalve/routing/outliers.py
+++ b/src/marjoramvalve/routing/outliers.py
@@ -26,7 +26,10 @@
         self._records.pop(name, None)
 
     def failed(self, name: str, now: float) -> None:
-        """Notes a failed connection; several in a row put the upstream out for a while."""
+        """Notes a failed connection or a failure answered at once.
+
+        Several in a row put the upstream out for a while.
+        """
         record = self._records.setdefault(name, _Record())
         record.failures += 1
         if record.failures >= FAILURES_TO_EJECT:
--- a/src/marjoramvalve/scenario/clients.py
+++ b/src/marjoramvalve/scenario/clients.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from marjoramvalve.gateway import headers as h
+from marjoramvalve.scenario.backends import POISON
 from marjoramvalve.scenario.deployments import Entry
 from marjoramvalve.scenario.requests import MemoryRequest
 from marjoramvalve.scenario.traces import Ended
@@ -96,7 +97,8 @@
         name = self.rng.choice(names)
         sent_at = world.loop.time()
         await asyncio.sleep(world.deployment.client_delay_s)
-        request = MemoryRequest(method, f"/{entry.route}", headers, b"")
+        path = f"/{entry.route}/poison" if POISON in headers else f"/{entry.route}"
+        request = MemoryRequest(method, path, headers, b"")
         answer = await world.call(world.instances[name], request)
         if answer is None:
             world.trace.cuts.append((world.loop.time(), name))
--- a/src/marjoramvalve/scenario/worlds.py
+++ b/src/marjoramvalve/scenario/worlds.py
@@ -54,6 +54,11 @@
             )
         return answer
 
+    def take_back(self, customer, tokens, now):
+        """Takes tokens back and notes that they were not used."""
+        super().take_back(customer, tokens, now)
+        self._trace.draws.append(Drawn(asyncio.get_running_loop().time(), customer, -tokens))
+
 
 @dataclass(slots=True)
 class Instance:
--- a/src/marjoramvalve/wire/codec.py
+++ b/src/marjoramvalve/wire/codec.py
@@ -27,6 +27,7 @@
     | m.HeldReport
     | m.LotRequest
     | m.LotAnswer
+    | m.TokenOffer
     | m.TokenTransfer
     | m.KeeperBegin
     | m.KeeperAnswer
--- a/src/marjoramvalve/wire/messages.py
+++ b/src/marjoramvalve/wire/messages.py
@@ -32,6 +32,7 @@
     "SlotAsk",
     "SlotGrant",
     "SlotWait",
+    "TokenOffer",
     "TokenTransfer",
     "UpstreamInfo",
     "Vote",
@@ -325,7 +326,8 @@
     """Asks a customer's bucket owner for tokens.
 
     `need` is for calls that wait, `want` adds what may come soon. `lend` marks a request to the
-    owner in another domain; `deficit` is what the asking owner lacks to its burst.
+    owner in another domain; `deficit` is what the asking owner lacks to its burst. `partial` takes
+    a part of a token as well, to be put together with those of other owners.
     """
 
     customer: str
@@ -335,6 +337,7 @@
     nonce: int
     lend: bool = False
     deficit: float = 0.0
+    partial: bool = False
 
 
 class LotAnswer(Message, frozen=True, tag=31):
@@ -347,12 +350,22 @@
     known: bool
 
 
+class TokenOffer(Message, frozen=True, tag=33):
+    """Tells an owner with a deficit that another one has more than it can hold."""
+
+    customer: str
+
+
 class TokenTransfer(Message, frozen=True, tag=32):
-    """Moves tokens one way, to an owner with a deficit. A lost transfer loses them."""
+    """Hands on the tokens of a bucket that was given up. A lost transfer loses them.
+
+    `unused` marks tokens that were drawn for a call and come back.
+    """
 
     customer: str
     placement_epoch: int
     tokens: float
+    unused: bool = False
 
 
 # Idempotency records
