--- a/benches/scenarios.py
+++ b/benches/scenarios.py
@@ -70,7 +70,7 @@
     )
 
 
-def jobs(only: str, scale: float, seed: int, baselines: bool) -> list[Job]:
+def jobs(only: str, scale: float, seed: int, baselines: tuple[str, ...]) -> list[Job]:
     """Returns the runs to make."""
     out = []
     for file in sorted(FOLDER.glob("*.scn")):
@@ -81,15 +81,17 @@
             others = [item for item in DEPLOYMENTS if item != deployment]
             if any(name.endswith(f"-{other}") for other in others):
                 continue
-            for control in WORLDS if baselines else ["marjoramvalve"]:
+            compared = any(name.startswith(item) for item in baselines)
+            for control in WORLDS if compared else ["marjoramvalve"]:
                 out.append(Job(name, deployment, control, scale, seed))
     return out
 
 
-def main(only="", scale=0.25, seed=1, baselines=False, out=""):
+def main(only="", scale=0.25, seed=1, baselines=(), out=""):
     """Prints the table; the JSON goes to `out` where given."""
+    named = tuple(baselines.split(",")) if isinstance(baselines, str) else tuple(baselines)
     with ProcessPoolExecutor(WORKERS) as pool:
-        rows = list(pool.map(run_job, jobs(only, scale, seed, baselines)))
+        rows = list(pool.map(run_job, jobs(only, scale, seed, named)))
     for row in rows:
         print(f"{row.scenario:20} {row.deployment:9} {row.control:14} calls {row.calls}")
         for name, figure in row.figures.items():
