--- a/src/marjoramvalve/daemon/buckets.py
+++ b/src/marjoramvalve/daemon/buckets.py
@@ -98,6 +98,10 @@
         if deficit >= LEAST_DEFICIT:
             self._borrow(address, body.customer, deficit * OFFER_PART, deficit, now)
 
+    def is_busy(self) -> bool:
+        """Tells whether any bucket here is not full."""
+        return bool(self._owners.active())
+
     def tick(self) -> None:
         """Moves tokens between domains: surplus out, and lack in."""
         now = self._context.clock()
@@ -107,7 +111,7 @@
             return
         self._pulled_at = now
         self._asked = {nonce: at for nonce, at in self._asked.items() if at > now - ASKED_S}
-        for customer in self._owners.customers():
+        for customer in self._owners.active():
             self._pull(customer, now)
 
     def _pull(self, customer: str, now: float) -> None:
--- a/src/marjoramvalve/daemon/cores.py
+++ b/src/marjoramvalve/daemon/cores.py
@@ -20,6 +20,7 @@
 from marjoramvalve.wire import messages as m
 
 TICK_S = 0.05
+IDLE_TICK_S = 0.2
 STOP_POLL_S = 0.05
 
 log = structlog.get_logger("node")
@@ -128,9 +129,13 @@
 
     async def _run(self) -> None:
         while True:
-            await asyncio.sleep(TICK_S)
+            await asyncio.sleep(TICK_S if self._is_busy() else IDLE_TICK_S)
             self.tick()
 
+    def _is_busy(self) -> bool:
+        hosts = self.slot_host.is_busy() or self.bucket_host.is_busy()
+        return hosts or not self.keeper_host.has_sent()
+
     def tick(self) -> None:
         """Does what is due."""
         now = self.context.clock()
--- a/src/marjoramvalve/daemon/slots.py
+++ b/src/marjoramvalve/daemon/slots.py
@@ -72,6 +72,10 @@
                 if name not in names:
                     owner.gone(name)
 
+    def is_busy(self) -> bool:
+        """Tells whether any call waits for a slot here, or an owner still asks what is held."""
+        return any(owner.waiting() or owner.unreported() for owner in self._owners.values())
+
     def tick(self) -> None:
         """Advances every owner."""
         now = self._context.clock()
--- a/src/marjoramvalve/gateway/slots.py
+++ b/src/marjoramvalve/gateway/slots.py
@@ -14,6 +14,7 @@
 
 SILENT_OWNER_S = 0.25
 TICK_S = 0.05
+IDLE_TICK_S = 0.1
 RENEW_PART = 0.25
 MAX_MOVES = 3
 
@@ -259,7 +260,7 @@
 
     async def _run(self) -> None:
         while True:
-            await asyncio.sleep(TICK_S)
+            await asyncio.sleep(TICK_S if self._waits else IDLE_TICK_S)
             now = self._context.clock()
             for target in list(self._targets.values()):
                 if target.caller.is_due(now):
--- a/src/marjoramvalve/rates/owners.py
+++ b/src/marjoramvalve/rates/owners.py
@@ -47,6 +47,7 @@
         self._stretch = (1 + drift) / (1 - drift)
         self._fence_s = fence_s * self._stretch
         self._owned: dict[str, _Owned] = {}
+        self._active: set[str] = set()
 
     def keep(self, customer: str, share: Share, fresh: bool, now: float) -> None:
         """Owns a customer's bucket, or changes its share.
@@ -58,14 +59,17 @@
         if item is not None:
             if (item.bucket.rate, item.bucket.burst) != (share.rate, share.burst):
                 item.bucket.change(share.rate, share.burst, now)
+                self._active.add(customer)
             return
         tokens = share.burst if fresh else 0.0
         starts_at = now if fresh else now + self._fence_s
         bucket = TokenBucket(share.rate, share.burst, tokens, starts_at)
         self._owned[customer] = _Owned(bucket, starts_at, {})
+        self._active.add(customer)
 
     def drop(self, customer: str, now: float) -> float:
         """Gives up a bucket; returns the tokens in it, for its next owner."""
+        self._active.discard(customer)
         item = self._owned.pop(customer, None)
         if item is None:
             return 0.0
@@ -76,11 +80,19 @@
         """Returns the customers whose buckets are owned here."""
         return tuple(self._owned)
 
+    def active(self) -> tuple[str, ...]:
+        """Returns the customers whose buckets are not full, or are lent from.
+
+        Those that rest cost nothing until the next request.
+        """
+        return tuple(sorted(self._active))
+
     def request(self, body: LotRequest, address: str, now: float) -> LotAnswer:
         """Answers a request for tokens, of a node or of the owner in another domain."""
         item = self._owned.get(body.customer)
         if item is None:
             return LotAnswer(body.customer, body.nonce, 0.0, 0.0, False)
+        self._active.add(body.customer)
         most = self._most(item, body, now)
         if not body.partial and not body.lend:
             most = float(int(min(most, item.bucket.available(now))))
@@ -127,8 +139,11 @@
         long as the answer may be on its way, and a late answer is not taken.
         """
         out = []
-        for customer, item in self._owned.items():
+        for customer in sorted(self._active):
+            item = self._owned[customer]
             spare = item.bucket.refill(now)
+            if not item.debtors and item.bucket.tokens >= item.bucket.burst:
+                self._active.discard(customer)
             for address, told_at in list(item.debtors.items()):
                 if now > told_at + DEBTOR_S:
                     del item.debtors[address]
--- a/src/marjoramvalve/scenario/backends.py
+++ b/src/marjoramvalve/scenario/backends.py
@@ -20,7 +20,7 @@
 COLD_FACTOR = 4.0
 RESTART_S = 2.0
 SPREAD = 0.5
-KEY_MARK = "mvk_"
+KEY_MARK = "mvk_shed-"
 HANG_S = 1000.0
 
 
--- a/src/marjoramvalve/scenario/deployments.py
+++ b/src/marjoramvalve/scenario/deployments.py
@@ -119,13 +119,16 @@
 
 
 def scaled(deployment: Deployment, factor: float) -> Deployment:
-    """Returns a deployment with slots and connections of each upstream scaled."""
+    """Returns a deployment with the slots of each upstream scaled.
+
+    Connections stay: they are divided among the instances, whose number stays too.
+    """
     services = tuple(
         Service(
             item.name,
             item.upstreams,
             max(2, round(item.slots * factor)),
-            max(40, round(item.connections * factor)),
+            item.connections,
             item.work_s,
             item.calls,
         )
