Serve nothing before the first confirmed configuration; go on to further upstreams

Change: refusals say stale-config until then, and the first poll leaves at once; six upstreams are tried.

--- a/src/marjoramvalve/daemon/cores.py
+++ b/src/marjoramvalve/daemon/cores.py
@@ -129,8 +129,8 @@
 
     async def _run(self) -> None:
         while True:
-            await asyncio.sleep(TICK_S if self._is_busy() else IDLE_TICK_S)
             self.tick()
+            await asyncio.sleep(TICK_S if self._is_busy() else IDLE_TICK_S)
 
     def _is_busy(self) -> bool:
         hosts = self.slot_host.is_busy() or self.bucket_host.is_busy()
--- a/src/marjoramvalve/gateway/calls.py
+++ b/src/marjoramvalve/gateway/calls.py
@@ -59,6 +59,10 @@
 
     def open(self, request: CallerRequest) -> Call | Refusal:
         """Returns the call of a request, or why it may not go on."""
+        if not self._context.view.is_known:
+            delay = retry_after(0.5, self._context.rng)
+            detail = "instance has no confirmed configuration yet"
+            return refuse(Reason.STALE_CONFIG, detail, Run.NOT_RUN, delay)
         path = request.path
         if not h.is_plain_path(path) or request.method == "CONNECT":
             return refuse(Reason.BAD_REQUEST, f"request target {path[:64]!r} is not a plain path")
--- a/src/marjoramvalve/gateway/slots.py
+++ b/src/marjoramvalve/gateway/slots.py
@@ -16,7 +16,7 @@
 TICK_S = 0.05
 IDLE_TICK_S = 0.1
 RENEW_PART = 0.25
-MAX_MOVES = 3
+MAX_MOVES = 6
 
 log = structlog.get_logger("slots")
 
--- a/src/marjoramvalve/membership/configs.py
+++ b/src/marjoramvalve/membership/configs.py
@@ -82,6 +82,11 @@
                 return True
         return False
 
+    @property
+    def is_known(self) -> bool:
+        """Tells whether any configuration was ever confirmed to this process."""
+        return self.confirmed_at > NEVER
+
     @property
     def poll_version(self) -> int:
         """Version to poll with; -1 asks for the whole document after a delta did not fit."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -11,6 +11,7 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from marjoramvalve.gateway import headers as h
+from marjoramvalve.membership.configs import NEVER
 from marjoramvalve.model import key_digest
 from tests.nodes import KEY, NodeBench, answers, read_request
 
@@ -219,6 +220,15 @@
         self.assertEqual(found, (401, "no-key", "not-run"))
         self.assertEqual(self.refusal("GET", "/nowhere"), (503, "no-upstream", "not-run"))
 
+    def test_instance_without_configuration_serves_nothing(self):
+        view = self.bench.node.view
+        confirmed, view.confirmed_at = view.confirmed_at, NEVER
+        try:
+            opened = self.bench.node.gateway._opener.open(None)
+        finally:
+            view.confirmed_at = confirmed
+        self.assertEqual((opened.reason, opened.run), ("stale-config", "not-run"))
+
     def test_refusal_can_be_explained(self):
         _, headers, _ = self.run_async(self.call("GET", "/missing"))
         entry = self.bench.node.gateway.journal.get(headers["Marjoramvalve-Request-Id"])
