--- a/benches/slopes.py
+++ b/benches/slopes.py
@@ -271,8 +271,9 @@
     target = Path(folder)
     target.mkdir(parents=True, exist_ok=True)
     rows: list[Point] = []
+    named = only.split(",") if isinstance(only, str) else list(only)
     for variable, values in SWEEPS.items():
-        if only and variable not in only.split(","):
+        if only and variable not in named:
             continue
         for value in values:
             found = uvloop.run(one(variable, value, seconds))
