--- /dev/null
+++ b/src/marjoramvalve/fleet/controllers.py
@@ -0,0 +1,335 @@
+"""A controller: the group's state, the roster and the customers' rates, served to the nodes."""
+
+import asyncio
+import random
+import zlib
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+import structlog
+
+from marjoramvalve.consensus import ProposalVerdict
+from marjoramvalve.fleet.dialers import Dialer
+from marjoramvalve.fleet.groups import Group
+from marjoramvalve.fleet.identities import Founding, load_identity
+from marjoramvalve.fleet.messages import (
+    Ask,
+    Config,
+    ControllerHello,
+    Envelope,
+    Grant,
+    Kind,
+    Report,
+    Roster,
+    Status,
+    decode,
+    encode,
+)
+from marjoramvalve.fleet.rosters import RosterBook
+from marjoramvalve.fleet.states import Publish, Verdict, VerdictKind
+from marjoramvalve.fleet.tokens import TokenDesk
+from marjoramvalve.links import FrameStream, Listener
+from marjoramvalve.wire.messages import Message
+
+TICK_S = 0.1
+HELLO_S = 0.5  # How often controllers say who they are.
+HELLO_LIFE_S = 1.6  # A controller not heard for this is not taken for live.
+SPARE_AFTER_S = 5.0  # A silent voter is replaced by a spare after this.
+MOST_VOTERS = 7
+PUBLISH_S = 3.0  # Longest wait for the outcome of a publication.
+PACK_LEVEL = 6
+
+log = structlog.get_logger("controller")
+
+
+@dataclass(frozen=True, slots=True)
+class ControllerOptions:
+    """What a controller is built from. Addresses are for links but for `control`."""
+
+    name: str
+    address: str
+    control: str
+    folder: Path
+    seeds: tuple[str, ...]
+    is_first_start: bool
+
+
+@dataclass(slots=True)
+class _Peer:
+    hello: ControllerHello
+    heard_at: float
+
+
+class Controller:
+    """One controller of the group."""
+
+    def __init__(
+        self, options: ControllerOptions, clock: Callable[[], float], rng: random.Random
+    ) -> None:
+        self.options = options
+        self._clock = clock
+        founding = Founding(options.address, options.seeds, options.is_first_start)
+        identity = load_identity(options.folder, founding, rng)
+        self.group = Group(options.folder, identity, self._send, self._on_change, clock, rng)
+        self._listener = Listener(self)
+        self._dialers: dict[str, Dialer] = {}
+        self._peers: dict[str, _Peer] = {}
+        self._nodes: dict[FrameStream, str] = {}
+        self._roster = RosterBook()
+        self._changed: set[str] = set()
+        self._gone: set[str] = set()
+        self._desk = TokenDesk()
+        self._pushed = 0
+        self._packed: bytes = b""
+        self._task: asyncio.Task | None = None
+        self._led = False
+        self._seeds = options.seeds
+
+    async def start(self) -> None:
+        """Listens and joins the group. Raises OSError."""
+        await self._listener.start(self.options.address)
+        await self.group.start()
+        self.set_seeds(self.options.seeds)
+        self._task = asyncio.create_task(self._run())
+        log.info("controller.start", name=self.group.identity.name, version=self.group.state.version)
+
+    async def close(self) -> None:
+        """Stops."""
+        if self._task is not None:
+            self._task.cancel()
+        for dialer in self._dialers.values():
+            dialer.close()
+        await self._listener.close()
+        await self.group.close()
+
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Takes in where other controllers may be found."""
+        self._seeds = seeds
+        for address in seeds:
+            self._dial(address)
+
+    # Links to other controllers
+
+    def _dial(self, address: str) -> None:
+        if address == self.options.address or address in self._dialers:
+            return
+        dialer = self._dialers[address] = Dialer(address, self._on_dialed, self._on_reply)
+        dialer.start()
+
+    def _hello(self) -> bytes:
+        name = self.group.identity.name
+        return encode(ControllerHello(name, self.options.address, self.options.control))
+
+    def _on_dialed(self, dialer: Dialer) -> None:
+        dialer.send(Kind.CONTROLLER, self._hello())
+
+    def _on_reply(self, dialer: Dialer, kind: int, payload: bytes) -> None:
+        """Controllers answer over links of their own."""
+
+    def _send(self, to: str, address: str, body: Message) -> None:
+        address = address or to.partition("/")[0]
+        dialer = self._dialers.get(address)
+        if dialer is None:
+            self._dial(address)
+            return
+        envelope = Envelope(self.group.identity.name, self.options.address, to, body)
+        dialer.send(Kind.CONSENSUS, encode(envelope))
+
+    # Streams of nodes and of other controllers
+
+    def stream_opened(self, stream: FrameStream) -> None:
+        """Waits for the first frame."""
+
+    def stream_closed(self, stream: FrameStream) -> None:
+        """Forgets the stream; a node's entry lives on for a while."""
+        name = self._nodes.pop(stream, None)
+        if name is not None:
+            log.info("node.link_lost", node=name)
+
+    def stream_frame(self, stream: FrameStream, kind: int, payload: bytes) -> None:
+        """Takes a frame."""
+        if kind == Kind.PING:
+            stream.send(Kind.PONG, b"")
+            return
+        match decode(kind, payload):
+            case Envelope(src=src, to=to, body=body) if to == self.group.identity.name:
+                self.group.step(src, body)
+            case ControllerHello() as hello:
+                self._peers[hello.address] = _Peer(hello, self._clock())
+                self._dial(hello.address)
+            case Report() as report:
+                self._on_report(stream, report)
+            case Ask(nonce=nonce, wants=wants):
+                self._on_ask(stream, nonce, wants)
+
+    def _on_report(self, stream: FrameStream, report: Report) -> None:
+        now = self._clock()
+        is_new = stream not in self._nodes
+        self._nodes[stream] = report.name
+        if report.leaving:
+            if self._roster.drop(report.name):
+                self._gone.add(report.name)
+        elif self._roster.note(report, now):
+            self._changed.add(report.name)
+            self._gone.discard(report.name)
+        leads = self.group.leads()
+        state = self.group.state
+        members = self.group.replica.members
+        addresses = (*members.voters.values(), *members.learners.values())
+        status = Status(report.stamp, leads, state.version, addresses, self._roster.pressure(now))
+        if report.version < state.version:
+            stream.send(Kind.CONFIG, self._config())
+        stream.send(Kind.STATUS, encode(status))
+        if is_new:
+            stream.send(Kind.ROSTER, encode(Roster(True, self._roster.entries())))
+
+    def _on_ask(self, stream: FrameStream, nonce: int, wants: dict[str, float]) -> None:
+        if self.group.leads():
+            granted, wait_s = self._desk.grant(wants, self._clock())
+            stream.send(Kind.GRANT, encode(Grant(nonce, granted, wait_s)))
+
+    # State
+
+    def _config(self) -> bytes:
+        state = self.group.state
+        if self._pushed != state.version or not self._packed:
+            self._pushed = state.version
+            packed = zlib.compress(state.document, PACK_LEVEL)
+            self._packed = encode(Config(state.version, packed))
+        return self._packed
+
+    def _on_change(self) -> None:
+        leads = self.group.leads()
+        self._desk.set_document(self.group.state.decoded(), leads, self._clock())
+        if self.group.state.version > self._pushed:
+            log.info("config.committed", version=self.group.state.version, leads=leads)
+            payload = self._config()
+            for stream in self._nodes:
+                stream.send(Kind.CONFIG, payload)
+
+    async def _run(self) -> None:
+        said_at = 0.0
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = self._clock()
+            if now > said_at + HELLO_S:
+                said_at = now
+                for dialer in self._dialers.values():
+                    dialer.send(Kind.CONTROLLER, self._hello())
+            leads = self.group.leads()
+            if leads != self._led:
+                self._led = leads
+                log.info("controller.leads", leads=leads, version=self.group.state.version)
+                self._on_change()
+            self._gone.update(self._roster.expire(now))
+            self._tell_roster()
+            if leads:
+                self._care_for_group(now)
+            self._forget_links()
+
+    def _tell_roster(self) -> None:
+        if not self._changed and not self._gone:
+            return
+        entries = [self._roster.get(name) for name in self._changed]
+        found = tuple(item for item in entries if item is not None)
+        payload = encode(Roster(False, found, tuple(self._gone)))
+        self._changed.clear()
+        self._gone.clear()
+        for stream in self._nodes:
+            stream.send(Kind.ROSTER, payload)
+
+    def _forget_links(self) -> None:
+        members = self.group.replica.members
+        known = {*members.voters.values(), *members.learners.values(), *self._seeds, *self._peers}
+        for address in self._dialers.keys() - known:
+            self._dialers.pop(address).close()
+
+    # Members of the group
+
+    def _care_for_group(self, now: float) -> None:
+        """Takes new controllers in, and puts them in the place of those that are gone."""
+        for address, peer in list(self._peers.items()):
+            if now > peer.heard_at + HELLO_LIFE_S:
+                del self._peers[address]
+        members = self.group.replica.members
+        live = {peer.hello.name: peer.hello for peer in self._peers.values()}
+        live_names = {*live, self.group.identity.name}
+        everyone = {**members.voters, **members.learners}
+        for hello in live.values():
+            replaced = [
+                name
+                for name, address in everyone.items()
+                if address == hello.address and name != hello.name
+            ]
+            if replaced:
+                self._change("remove", replaced[0])
+                return
+            if hello.name not in everyone:
+                self._change("add", hello.name, hello.address)
+                return
+        self._adjust_voters(members, live_names, now)
+
+    def _adjust_voters(self, members, live_names: set[str], now: float) -> None:
+        learners = [name for name in members.learners if name in live_names]
+        wanted = self._wanted_voters(members)
+        silent = [name for name in members.voters if name not in live_names]
+        if learners and len(members.voters) < wanted:
+            self._change("promote", learners[0])
+        elif len(members.voters) > wanted:
+            gone = [name for name in silent if self._is_long_silent(name, now)]
+            if gone:
+                self._change("remove", gone[0])
+        elif learners and any(self._is_long_silent(name, now) for name in silent):
+            self._change("promote", learners[0])
+        elif not silent:
+            gone = [name for name in members.learners if name not in live_names]
+            if gone and self._is_long_silent(gone[0], now):
+                self._change("remove", gone[0])
+
+    @staticmethod
+    def _wanted_voters(members) -> int:
+        """An even group stands no more losses than the next smaller odd one."""
+        count = min(MOST_VOTERS, len(members.voters) + len(members.learners))
+        return max(1, count - (count + 1) % 2)
+
+    def _is_long_silent(self, name: str, now: float) -> bool:
+        progress = self.group.replica._progress.get(name)
+        return progress is None or now > progress.heard_at + SPARE_AFTER_S
+
+    def _change(self, action: str, name: str, address: str = "") -> None:
+        verdict = self.group.change(action, name, address)
+        if verdict is ProposalVerdict.TAKEN:
+            log.info("group.change", action=action, member=name)
+
+    # For operators
+
+    def leads(self) -> bool:
+        """Tells whether this controller may answer for the group now."""
+        return self.group.leads()
+
+    def leader_control(self) -> str:
+        """Returns the operators' address of the leader, or an empty text."""
+        address = self.group.replica.leader.partition("/")[0]
+        peer = self._peers.get(address)
+        return peer.hello.control if peer is not None else ""
+
+    async def publish(self, command: Publish) -> Verdict | None:
+        """Publishes a document; None means that the outcome is unknown."""
+        if not self.group.leads():
+            return None
+        verdict = self.group.state.judge(command.publish_id, command.base, command.version)
+        if verdict is None:
+            verdict = await self.group.propose(msgspec.msgpack.encode(command), PUBLISH_S)
+        log.info(
+            "config.published",
+            id=command.publish_id.hex()[:16],
+            base=command.base,
+            version=command.version,
+            outcome=str(verdict.kind) if verdict is not None else "unknown",
+            current=self.group.state.version,
+        )
+        if verdict is not None and verdict.kind is VerdictKind.CONFLICT and not self.leads():
+            return None
+        return verdict
--- /dev/null
+++ b/src/marjoramvalve/fleet/members.py
@@ -0,0 +1,231 @@
+"""A node's side of the control plane: reports, configuration, roster and tokens."""
+
+import asyncio
+import hashlib
+import zlib
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import structlog
+
+from marjoramvalve.fleet.dialers import Dialer
+from marjoramvalve.fleet.messages import (
+    Ask,
+    Config,
+    Grant,
+    Kind,
+    Report,
+    Roster,
+    RosterEntry,
+    Status,
+    decode,
+    encode,
+)
+from marjoramvalve.fleet.tokens import TokenLots
+from marjoramvalve.model import Document, decode_document
+
+REPORT_S = 0.5  # To the leader: many times within the time a configuration stays confirmed.
+REST_EVERY = 3  # Other controllers get every third report.
+TICK_S = 0.1
+LEASE_MARGIN = 0.1  # Part of the lease kept back for clocks that differ in rate and for the way.
+FAR_LINKS = 3  # Links to each service in each other failure domain.
+LEADER_LIFE_S = 1.5  # A controller that said it leads is asked for tokens for this long.
+
+log = structlog.get_logger("member")
+
+
+@dataclass(frozen=True, slots=True)
+class MemberOptions:
+    """What a member is built from. `lease_s` is how long a confirmed configuration counts."""
+
+    name: str
+    domain: str
+    service: str
+    address: str
+    incarnation: int
+    seeds: tuple[str, ...]
+    lease_s: float
+
+
+class Member:
+    """One node in the fleet. `clock` goes on while the machine is suspended."""
+
+    def __init__(
+        self,
+        options: MemberOptions,
+        clock: Callable[[], float],
+        on_config: Callable[[int, Document], None],
+        on_peers: Callable[[dict[str, tuple[str, str, bool]]], None],
+    ) -> None:
+        self.options = options
+        self._clock = clock
+        self._on_config = on_config
+        self._on_peers = on_peers
+        self.version = 0
+        self.lots = TokenLots(clock, self._ask)
+        self._dialers: dict[str, Dialer] = {}
+        self._rosters: dict[str, dict[str, RosterEntry]] = {}
+        self._wanted: dict[str, tuple[str, str, bool]] = {}
+        self._confirmed_at = -1e9
+        self._leader: Dialer | None = None
+        self._led_at = -1e9
+        self._nonce = 0
+        self._task: asyncio.Task | None = None
+        self._seeds = options.seeds
+        self._was_confirmed = False
+        self.leaving = False
+        self.pressure: Callable[[], float] = lambda: 0.0
+        self.on_pressure: Callable[[dict[str, float]], None] = lambda levels: None
+
+    async def start(self) -> None:
+        """Looks for the controllers."""
+        for address in self._seeds:
+            self._dial(address)
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Ends the links."""
+        if self._task is not None:
+            self._task.cancel()
+        for dialer in self._dialers.values():
+            dialer.close()
+
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Takes in where controllers may be found."""
+        self._seeds = seeds
+        for address in seeds:
+            self._dial(address)
+
+    def is_confirmed(self) -> bool:
+        """Tells whether the configuration at hand was the newest within the lease."""
+        lease_s = self.options.lease_s * (1 - LEASE_MARGIN)
+        return self._clock() < self._confirmed_at + lease_s
+
+    def leave(self) -> None:
+        """Tells the controllers that this node stops."""
+        self.leaving = True
+        for dialer in self._dialers.values():
+            self._report(dialer)
+
+    # Links
+
+    def _dial(self, address: str) -> None:
+        if address not in self._dialers:
+            dialer = Dialer(address, self._report, self._on_frame)
+            self._dialers[address] = dialer
+            dialer.start()
+
+    def _report(self, dialer: Dialer) -> None:
+        options = self.options
+        report = Report(
+            options.name,
+            options.domain,
+            options.address,
+            options.service,
+            options.incarnation,
+            self.version,
+            self._clock(),
+            self.leaving,
+            round(self.pressure(), 2),
+        )
+        dialer.send(Kind.REPORT, encode(report))
+
+    async def _run(self) -> None:
+        turn = 0
+        reported_at = 0.0
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = self._clock()
+            self.lots.sweep()
+            confirmed = self.is_confirmed()
+            if confirmed != self._was_confirmed:
+                self._was_confirmed = confirmed
+                log.info("config.confirmed", confirmed=confirmed, version=self.version)
+            if now < reported_at + REPORT_S:
+                continue
+            reported_at = now
+            turn += 1
+            knows_leader = now < self._led_at + LEADER_LIFE_S
+            for dialer in list(self._dialers.values()):
+                if dialer is self._leader or not knows_leader or turn % REST_EVERY == 0:
+                    self._report(dialer)
+
+    def _on_frame(self, dialer: Dialer, kind: int, payload: bytes) -> None:
+        match decode(kind, payload):
+            case Status() as status:
+                self._on_status(dialer, status)
+            case Config(version=version, packed=packed):
+                self._take_config(version, packed)
+            case Roster() as roster:
+                self._on_roster(dialer, roster)
+            case Grant(granted=granted, wait_s=wait_s):
+                self.lots.on_grant(granted, wait_s)
+
+    def _on_status(self, dialer: Dialer, status: Status) -> None:
+        if status.leads:
+            if self._leader is not dialer:
+                log.info("leader.found", address=dialer.address, version=status.version)
+            self._leader = dialer
+            self._led_at = self._clock()
+            self.on_pressure(status.pressure)
+            if status.version == self.version:
+                self._confirmed_at = max(self._confirmed_at, status.stamp)
+        for address in status.controllers:
+            self._dial(address)
+        if status.leads:
+            self._forget({*status.controllers, *self._seeds})
+
+    def _forget(self, known: set[str]) -> None:
+        for address in self._dialers.keys() - known:
+            self._dialers.pop(address).close()
+            self._rosters.pop(address, None)
+
+    def _take_config(self, version: int, packed: bytes) -> None:
+        if version <= self.version:
+            return
+        document = decode_document(zlib.decompress(packed))
+        self.version = version
+        self.lots.set_document(document)
+        self._on_config(version, document)
+
+    # Roster
+
+    def _on_roster(self, dialer: Dialer, roster: Roster) -> None:
+        held = {} if roster.whole else self._rosters.get(dialer.address, {})
+        held = {name: entry for name, entry in held.items() if name not in roster.gone}
+        held.update({entry.name: entry for entry in roster.entries})
+        self._rosters[dialer.address] = held
+        self._choose_peers()
+
+    def _choose_peers(self) -> None:
+        merged: dict[str, RosterEntry] = {}
+        open_ones = {a for a, dialer in self._dialers.items() if dialer.is_open}
+        for address, held in self._rosters.items():
+            if address in open_ones or not open_ones:
+                merged.update(held)
+        wanted = {}
+        groups: dict[tuple[str, str], list[RosterEntry]] = {}
+        for entry in merged.values():
+            if entry.domain == self.options.domain:
+                wanted[entry.name] = (entry.service, entry.address, True)
+            else:
+                groups.setdefault((entry.domain, entry.service), []).append(entry)
+        for entries in groups.values():
+            entries.sort(key=lambda entry: self._rank(entry.name))
+            for entry in entries[:FAR_LINKS]:
+                wanted[entry.name] = (entry.service, entry.address, False)
+        if wanted != self._wanted:
+            self._wanted = wanted
+            log.info("roster.applied", nodes=len(merged), links=len(wanted))
+            self._on_peers(wanted)
+
+    def _rank(self, name: str) -> bytes:
+        return hashlib.blake2b(f"{self.options.name}|{name}".encode(), digest_size=8).digest()
+
+    # Tokens
+
+    def _ask(self, wants: dict[str, float]) -> bool:
+        if self._leader is None or self._clock() > self._led_at + LEADER_LIFE_S:
+            return False
+        self._nonce += 1
+        return self._leader.send(Kind.ASK, encode(Ask(self._nonce, wants)))
--- /dev/null
+++ b/src/marjoramvalve/fleet/messages.py
@@ -0,0 +1,153 @@
+"""Messages between nodes and controllers, and between controllers. Durations are in seconds."""
+
+from enum import IntEnum
+
+import msgspec
+
+from marjoramvalve.wire.messages import (
+    Appended,
+    AppendEntries,
+    InstallSnapshot,
+    PreVote,
+    PreVoted,
+    Vote,
+    Voted,
+)
+
+
+class Kind(IntEnum):
+    """Kinds of frames of the control plane."""
+
+    PING = 30
+    PONG = 31
+    REPORT = 32
+    STATUS = 33
+    CONFIG = 34
+    ROSTER = 35
+    ASK = 36
+    GRANT = 37
+    CONTROLLER = 38
+    CONSENSUS = 39
+
+
+class UpstreamReport(msgspec.Struct, frozen=True, array_like=True):
+    """The upstream beside a node."""
+
+    instance: str
+    service: str
+    ready: bool
+
+
+class Report(msgspec.Struct, frozen=True, array_like=True):
+    """What a node says of itself. `stamp` is its own clock at the time of sending.
+
+    `pressure` is the share of its upstream's slots that the calls at hand would fill.
+    """
+
+    name: str
+    domain: str
+    address: str
+    service: str
+    incarnation: int
+    version: int
+    stamp: float
+    leaving: bool = False
+    pressure: float = 0.0
+
+
+class Status(msgspec.Struct, frozen=True, array_like=True):
+    """Answer to a report. `version` is the newest one only where `leads` is true.
+
+    `controllers` names the addresses of the group's members. `pressure` tells how full each
+    service is.
+    """
+
+    stamp: float
+    leads: bool
+    version: int
+    controllers: tuple[str, ...]
+    pressure: dict[str, float] = {}
+
+
+class Config(msgspec.Struct, frozen=True, array_like=True):
+    """A version of the configuration document, compressed."""
+
+    version: int
+    packed: bytes
+
+
+class RosterEntry(msgspec.Struct, frozen=True, array_like=True):
+    """A node where calls for a service can be sent."""
+
+    name: str
+    domain: str
+    address: str
+    service: str
+    incarnation: int
+
+
+class Roster(msgspec.Struct, frozen=True, array_like=True):
+    """Changes of the roster, or all of it where `whole` is true."""
+
+    whole: bool
+    entries: tuple[RosterEntry, ...]
+    gone: tuple[str, ...] = ()
+
+
+class Ask(msgspec.Struct, frozen=True, array_like=True):
+    """Tokens that a node wants, by customer."""
+
+    nonce: int
+    wants: dict[str, float]
+
+
+class Grant(msgspec.Struct, frozen=True, array_like=True):
+    """Tokens granted by customer, and how long to wait where there are none."""
+
+    nonce: int
+    granted: dict[str, float]
+    wait_s: dict[str, float]
+
+
+class ControllerHello(msgspec.Struct, frozen=True, array_like=True):
+    """What a controller says of itself: group name, address for links, address for operators."""
+
+    name: str
+    address: str
+    control: str
+
+
+ConsensusBody = PreVote | PreVoted | Vote | Voted | AppendEntries | Appended | InstallSnapshot
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """A consensus message with its sender."""
+
+    src: str
+    address: str
+    to: str
+    body: ConsensusBody
+
+
+encode = msgspec.msgpack.Encoder().encode
+DECODERS = {
+    Kind.REPORT: msgspec.msgpack.Decoder(Report),
+    Kind.STATUS: msgspec.msgpack.Decoder(Status),
+    Kind.CONFIG: msgspec.msgpack.Decoder(Config),
+    Kind.ROSTER: msgspec.msgpack.Decoder(Roster),
+    Kind.ASK: msgspec.msgpack.Decoder(Ask),
+    Kind.GRANT: msgspec.msgpack.Decoder(Grant),
+    Kind.CONTROLLER: msgspec.msgpack.Decoder(ControllerHello),
+    Kind.CONSENSUS: msgspec.msgpack.Decoder(Envelope),
+}
+
+
+def decode(kind: int, payload: bytes):
+    """Returns the message of a frame, or None for a kind that holds none or does not parse."""
+    decoder = DECODERS.get(kind)
+    if decoder is None:
+        return None
+    try:
+        return decoder.decode(payload)
+    except msgspec.DecodeError:
+        return None
--- /dev/null
+++ b/src/marjoramvalve/fleet/states.py
@@ -0,0 +1,92 @@
+"""The replicated state: the published document with its version. Applying is deterministic."""
+
+from enum import StrEnum
+
+import msgspec
+
+from marjoramvalve.model import Document, decode_document
+
+
+class VerdictKind(StrEnum):
+    """Outcome of a publication."""
+
+    ACCEPTED = "accepted"
+    CONFLICT = "conflict"
+
+
+class Publish(msgspec.Struct, frozen=True, array_like=True):
+    """A whole document as the next version, built on version `base`.
+
+    `publish_id` makes sending it again safe. `source` is the text that the author sent, which is
+    what readers get back; `document` is the canonical document made of it.
+    """
+
+    publish_id: bytes
+    base: int
+    version: int
+    document: bytes
+    source: bytes
+
+
+class Verdict(msgspec.Struct, frozen=True):
+    """Outcome of a publication, and the version in force after it."""
+
+    kind: VerdictKind
+    current: int
+
+
+class _Saved(msgspec.Struct, frozen=True, array_like=True):
+    version: int
+    document: bytes
+    source: bytes
+    accepted: dict[bytes, int]
+
+
+class FleetState:
+    """State machine behind the replicated log."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.document = b""
+        self.source = b""
+        self._accepted: dict[bytes, int] = {}
+
+    def judge(self, publish_id: bytes, base: int, version: int) -> Verdict | None:
+        """Returns the verdict on a publication as things stand; None where it would be accepted."""
+        if publish_id in self._accepted:
+            return Verdict(VerdictKind.ACCEPTED, self.version)
+        if base != self.version or version <= self.version:
+            return Verdict(VerdictKind.CONFLICT, self.version)
+        return None
+
+    def apply(self, data: bytes) -> Verdict:
+        """Applies a committed publication."""
+        command = msgspec.msgpack.decode(data, type=Publish)
+        verdict = self.judge(command.publish_id, command.base, command.version)
+        if verdict is not None:
+            return verdict
+        self.version = command.version
+        self.document = command.document
+        self.source = command.source
+        self._accepted[command.publish_id] = command.version
+        return Verdict(VerdictKind.ACCEPTED, self.version)
+
+    def decoded(self) -> Document:
+        """Returns the document in force."""
+        return decode_document(self.document) if self.document else Document()
+
+    def save(self) -> bytes:
+        """Returns the whole state as bytes."""
+        saved = _Saved(self.version, self.document, self.source, self._accepted)
+        return msgspec.msgpack.encode(saved)
+
+    def restore(self, raw: bytes) -> None:
+        """Replaces the state by a saved one; empty bytes are the initial state."""
+        if not raw:
+            self.__init__()
+            return
+        saved = msgspec.msgpack.decode(raw, type=_Saved)
+        self.version = saved.version
+        self.document = saved.document
+        self.source = saved.source
+        self._accepted = dict(saved.accepted)
--- /dev/null
+++ b/src/marjoramvalve/fleet/tokens.py
@@ -0,0 +1,192 @@
+"""Rates of customers: one bucket each at the leader, small lots of tokens at the nodes.
+
+The sum over the fleet never exceeds burst + rate x time by more than the lots at the nodes, which
+are a part of a second's calls. A new leader starts with empty buckets: what the one before it
+granted may still be in use.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from marjoramvalve.model import Document
+from marjoramvalve.rates import TokenBucket
+
+LOT_S = 0.4  # Calls for which a node holds tokens, by the rate it sees.
+LEAST_LOT = 2.0
+FALLBACK_S = 3.0  # Without a leader, a node goes on at the rate it was granted for this long.
+ANSWER_S = 0.4  # Longest wait for tokens before a call is refused.
+AWAY_S = 0.25  # Time to stay away where nobody could be asked.
+RATE_SMOOTHING = 0.3
+RATE_WINDOW_S = 0.5
+
+
+class TokenDesk:
+    """The buckets of every customer, at the leader."""
+
+    def __init__(self) -> None:
+        self._buckets: dict[str, TokenBucket] = {}
+        self._leads = False
+
+    def set_document(self, document: Document, leads: bool, now: float) -> None:
+        """Takes over the customers of a document; customers it created itself start full."""
+        fresh_term = leads and not self._leads
+        if not leads or fresh_term:
+            self._buckets = {}
+        self._leads = leads
+        if not leads:
+            return
+        for name, customer in document.customers.items():
+            bucket = self._buckets.get(name)
+            if bucket is None:
+                tokens = 0.0 if fresh_term else customer.burst
+                self._buckets[name] = TokenBucket(customer.rate, customer.burst, tokens, now)
+            elif (bucket.rate, bucket.burst) != (customer.rate, customer.burst):
+                bucket.change(customer.rate, customer.burst, now)
+        for name in self._buckets.keys() - document.customers.keys():
+            del self._buckets[name]
+
+    def grant(
+        self, wants: dict[str, float], now: float
+    ) -> tuple[dict[str, float], dict[str, float]]:
+        """Returns tokens by customer, and seconds to wait for those that get none."""
+        granted, wait_s = {}, {}
+        for name, want in wants.items():
+            bucket = self._buckets.get(name)
+            if bucket is None:
+                wait_s[name] = AWAY_S
+                continue
+            taken = float(int(min(max(1.0, want), bucket.available(now))))
+            if taken >= 1.0:
+                bucket.take(taken, taken, now)
+                granted[name] = taken
+            else:
+                wait_s[name] = min(5.0, bucket.wait_s(1.0, now))
+        return granted, wait_s
+
+
+@dataclass(slots=True)
+class _Lot:
+    tokens: float = 0.0
+    asked_at: float = -1e9
+    is_asked: bool = False
+    away_until: float = 0.0
+    calls: int = 0
+    window_at: float = 0.0
+    rate: float = 0.0
+    refilled_at: float = 0.0
+    waiting: list[Callable[[float], None]] = field(default_factory=list)
+
+
+class TokenLots:
+    """The tokens of one node. `ask` sends what is wanted; False where there is no leader."""
+
+    def __init__(
+        self, clock: Callable[[], float], ask: Callable[[dict[str, float]], bool]
+    ) -> None:
+        self._clock = clock
+        self._ask = ask
+        self._lots: dict[str, _Lot] = {}
+        self._limited: set[str] = set()
+        self._heard_at = -1e9
+
+    def set_document(self, document: Document) -> None:
+        """Takes in which customers have a rate."""
+        self._limited = {name for name, item in document.customers.items() if item.limited}
+        for name in self._lots.keys() - self._limited:
+            self._release(self._lots.pop(name), 0.0)
+
+    def admit(self, customer: str) -> float | None:
+        """Returns 0 where a call may go on, seconds to stay away, or None to wait."""
+        if customer not in self._limited:
+            return 0.0
+        now = self._clock()
+        lot = self._lots.get(customer)
+        if lot is None:
+            lot = self._lots[customer] = _Lot(window_at=now)
+        self._note(lot, now)
+        if lot.tokens < 1.0:
+            self._fall_back(lot, now)
+        if lot.tokens >= 1.0:
+            lot.tokens -= 1.0
+            if lot.tokens < self._goal(lot) / 2:
+                self._order(customer, lot, now)
+            return 0.0
+        if now < lot.away_until:
+            return lot.away_until - now
+        if not self._order(customer, lot, now):
+            return AWAY_S
+        return None
+
+    def wait(self, customer: str, resume: Callable[[float], None]) -> None:
+        """Calls `resume` with 0 once there is a token, or with seconds to stay away."""
+        self._lots[customer].waiting.append(resume)
+
+    def _goal(self, lot: _Lot) -> float:
+        return max(LEAST_LOT, lot.rate * LOT_S)
+
+    def _note(self, lot: _Lot, now: float) -> None:
+        lot.calls += 1
+        span = now - lot.window_at
+        if span >= RATE_WINDOW_S:
+            lot.rate += RATE_SMOOTHING * (lot.calls / span - lot.rate)
+            lot.calls = 0
+            lot.window_at = now
+
+    def _order(self, customer: str, lot: _Lot, now: float) -> bool:
+        if lot.is_asked and now < lot.asked_at + ANSWER_S:
+            return True
+        if now < lot.away_until:
+            return False
+        want = self._goal(lot) + len(lot.waiting) - lot.tokens
+        if not self._ask({customer: max(1.0, float(int(want)))}):
+            return False
+        lot.is_asked = True
+        lot.asked_at = now
+        return True
+
+    def _fall_back(self, lot: _Lot, now: float) -> None:
+        """Goes on at the rate seen so far while a leader is being chosen."""
+        since = max(lot.refilled_at, self._heard_at + ANSWER_S)
+        if now > self._heard_at + FALLBACK_S or now <= since:
+            return
+        lot.tokens = min(self._goal(lot), lot.tokens + lot.rate * (now - since))
+        lot.refilled_at = now
+
+    def on_grant(self, granted: dict[str, float], wait_s: dict[str, float]) -> None:
+        """Takes in the leader's answer."""
+        now = self._clock()
+        self._heard_at = now
+        for customer in (*granted, *wait_s):
+            lot = self._lots.get(customer)
+            if lot is None:
+                continue
+            lot.is_asked = False
+            lot.tokens += granted.get(customer, 0.0)
+            after_s = wait_s.get(customer, 0.0)
+            if after_s > 0:
+                lot.away_until = now + after_s
+            self._serve(customer, lot, now, after_s)
+
+    def _serve(self, customer: str, lot: _Lot, now: float, after_s: float) -> None:
+        while lot.waiting and lot.tokens >= 1.0:
+            lot.tokens -= 1.0
+            lot.waiting.pop(0)(0.0)
+        if lot.waiting and (after_s > 0 or not self._order(customer, lot, now)):
+            self._release(lot, max(after_s, AWAY_S))
+
+    def _release(self, lot: _Lot, after_s: float) -> None:
+        waiting, lot.waiting = lot.waiting, []
+        for resume in waiting:
+            resume(after_s)
+
+    def sweep(self) -> None:
+        """Ends waits that nobody answers."""
+        now = self._clock()
+        for lot in self._lots.values():
+            if lot.waiting and now > lot.asked_at + ANSWER_S:
+                lot.is_asked = False
+                self._fall_back(lot, now)
+                while lot.waiting and lot.tokens >= 1.0:
+                    lot.tokens -= 1.0
+                    lot.waiting.pop(0)(0.0)
+                self._release(lot, AWAY_S)
--- /dev/null
+++ b/src/marjoramvalve/h1/__init__.py
@@ -0,0 +1,14 @@
+"""HTTP/1.1 on both sides of a node, on plain protocols with llhttp's parser."""
+
+from marjoramvalve.h1.callers import CallerServer, IncomingRequest
+from marjoramvalve.h1.names import HeaderNames
+from marjoramvalve.h1.upstreams import Exchange, UpstreamAnswer, UpstreamPool
+
+__all__ = [
+    "CallerServer",
+    "Exchange",
+    "HeaderNames",
+    "IncomingRequest",
+    "UpstreamAnswer",
+    "UpstreamPool",
+]
--- /dev/null
+++ b/src/marjoramvalve/h1/callers.py
@@ -0,0 +1,335 @@
+"""Connections of callers: whole requests in, answers out in the order of the requests."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from http import HTTPStatus
+
+import httptools
+
+from marjoramvalve.h1.names import CONNECTION_HEADERS, HeaderNames
+from marjoramvalve.links import split_address
+from marjoramvalve.model import CallerLimits
+
+BACKLOG = 1024
+SWEEP_S = 0.5  # How exactly the time-outs of callers are kept.
+MAX_PIPELINED = 64  # Requests of one connection at work at once.
+MAX_UNREAD_BYTES = 16 << 20  # Answers that a caller may leave unread before it is cut off.
+UNREAD_S = 20.0  # A caller that takes nothing of its answers for this long is cut off.
+NO_BODY_STATUSES = frozenset({204, 304})
+STATUS_LINES = {
+    status.value: b"HTTP/1.1 %d %s\r\n" % (status.value, status.phrase.encode())
+    for status in HTTPStatus
+}
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class IncomingRequest:
+    """A whole request. `head` holds the forwarded header lines; `target` is as it came."""
+
+    __slots__ = (
+        "attempt",
+        "body",
+        "conn",
+        "deadline_ms",
+        "head",
+        "host",
+        "key",
+        "method",
+        "on_gone",
+        "output",
+        "received_at",
+        "should_close",
+        "target",
+    )
+
+    def __init__(self, conn: "CallerConnection", received_at: float) -> None:
+        self.conn = conn
+        self.received_at = received_at
+        self.method = b""
+        self.target = b""
+        self.host = b""
+        self.key: bytes | None = None
+        self.attempt = b""
+        self.deadline_ms: int | None = None
+        self.head = b""
+        self.body = b""
+        self.should_close = False
+        self.output: bytes | None = None
+        self.on_gone: Callable[[], None] | None = None
+
+    def respond(self, status: int, head: bytes, body: bytes, close: bool = False) -> None:
+        """Answers; `head` holds whole header lines without framing. Later calls do nothing."""
+        if self.output is not None:
+            return
+        self.on_gone = None
+        self.should_close = self.should_close or close or self.conn.is_last(self)
+        line = STATUS_LINES.get(status) or b"HTTP/1.1 %d Unknown\r\n" % status
+        ending = b"Connection: close\r\n\r\n" if self.should_close else b"\r\n"
+        if status in NO_BODY_STATUSES:
+            self.output = line + head + ending
+        elif self.method == b"HEAD":
+            self.output = line + head + b"Content-Length: %d\r\n" % len(body) + ending
+        else:
+            self.output = line + head + b"Content-Length: %d\r\n" % len(body) + ending + body
+        self.conn.flush()
+
+
+class CallerConnection(asyncio.Protocol):
+    """One connection of a caller."""
+
+    def __init__(self, server: "CallerServer") -> None:
+        self._server = server
+        self._loop = server.loop
+        self._parser = httptools.HttpRequestParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._waiting: deque[IncomingRequest] = deque()
+        self._request: IncomingRequest | None = None
+        self._lines: list[bytes] = []
+        self._body: list[bytes] = []
+        self._size = 0
+        self._in_head = False
+        self._dropped: set[bytes] = set()
+        self._last: IncomingRequest | None = None
+        self._closing = False
+        self.active_at = self._loop.time()
+        self.began_at = 0.0
+
+    # Transport
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Registers the connection."""
+        self._transport = transport
+        self._server.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tells the requests at work that their caller has gone."""
+        self._transport = None
+        self._server.connections.discard(self)
+        self._drop_requests()
+
+    def eof_received(self) -> bool:
+        """Takes the end of the caller's side as its leaving: it closes both sides at once."""
+        self._drop_requests()
+        return False
+
+    def _drop_requests(self) -> None:
+        waiting, self._waiting = self._waiting, deque()
+        for request in waiting:
+            if request.on_gone is not None:
+                on_gone, request.on_gone = request.on_gone, None
+                on_gone()
+
+    def data_received(self, data: bytes) -> None:
+        """Feeds the parser."""
+        if self._closing:
+            return
+        self.active_at = self._loop.time()
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._fail(400, b"upgrades are not served")
+        except httptools.HttpParserError as exc:
+            if not self._closing:
+                self._fail(400, str(exc).encode()[:100])
+
+    # Parser
+
+    def on_message_begin(self) -> None:
+        """Starts a request."""
+        self._request = IncomingRequest(self, self.active_at)
+        self._lines = []
+        self._body = []
+        self._size = 0
+        self._in_head = True
+        self._dropped = set()
+        self.began_at = self.active_at
+
+    def on_url(self, url: bytes) -> None:
+        """Takes a part of the target."""
+        self._request.target += url
+        self._count_head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keeps a header, reads it or leaves it out."""
+        self._count_head(len(name) + len(value) + 4)
+        lower = name.lower()
+        field = self._server.read_headers.get(lower)
+        if field is not None:
+            self._read_header(field, value)
+        elif lower not in CONNECTION_HEADERS and lower not in self._server.own_headers:
+            self._lines.append(b"%b: %b\r\n" % (name, value))
+
+    def _count_head(self, size: int) -> None:
+        self._size += size
+        if self._size > self._server.limits.header_bytes and not self._closing:
+            self._fail(431, b"request head is above the limit")
+
+    def _read_header(self, field: str, value: bytes) -> None:
+        request = self._request
+        match field:
+            case "attempt":
+                request.attempt = value
+            case "deadline":
+                request.deadline_ms = int(value) if value.isdigit() else None
+            case "key":
+                request.key = value
+            case "host" if request.host:
+                self._fail(400, b"request has two Host headers")
+            case "host":
+                request.host = value
+                self._lines.append(b"Host: %b\r\n" % value)
+            case "connection":
+                self._dropped = {part.strip().lower() for part in value.split(b",")}
+            case "expect":
+                if value.lower() == b"100-continue" and not self._waiting:
+                    self._transport.write(CONTINUE)
+
+    def on_headers_complete(self) -> None:
+        """Ends the head."""
+        self._in_head = False
+        self._size = 0
+        lines = self._lines
+        if self._dropped - {b"close", b"keep-alive"}:
+            lines = [line for line in lines if line.partition(b":")[0].lower() not in self._dropped]
+        self._request.head = b"".join(lines)
+        self._request.method = self._parser.get_method()
+
+    def on_body(self, part: bytes) -> None:
+        """Takes a part of the body."""
+        self._size += len(part)
+        if self._size > self._server.limits.body_bytes:
+            if not self._closing:
+                self._fail(413, b"request body is above the limit")
+            return
+        self._body.append(part)
+
+    def on_message_complete(self) -> None:
+        """Hands the whole request on."""
+        request, self._request = self._request, None
+        self.began_at = 0.0
+        if request is None or self._closing:
+            return
+        if self._body:
+            request.body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
+            self._body = []
+        request.should_close = not self._parser.should_keep_alive()
+        if not request.host:
+            self._fail(400, b"request has no Host header")
+            return
+        self._waiting.append(request)
+        if len(self._waiting) > MAX_PIPELINED:
+            self._fail(503, b"too many requests on one connection")
+            return
+        self._server.handler(request)
+
+    def _fail(self, status: int, detail: bytes) -> None:
+        """Answers what can't be read, behind the answers that are due, and closes."""
+        self._closing = True
+        request = self._request or IncomingRequest(self, self.active_at)
+        self._request = None
+        if request not in self._waiting:
+            self._waiting.append(request)
+        self._server.on_unread(status, detail)
+        request.respond(status, b"Content-Type: text/plain\r\n", detail, close=True)
+
+    # Answers
+
+    def is_last(self, request: IncomingRequest) -> bool:
+        """Tells whether the connection ends behind the answer to this request."""
+        return request is self._last
+
+    def flush(self) -> None:
+        """Writes the answers that are next in order."""
+        out = []
+        close = False
+        while self._waiting and self._waiting[0].output is not None and not close:
+            request = self._waiting.popleft()
+            out.append(request.output)
+            close = request.should_close
+        if not out or self._transport is None:
+            return
+        self.active_at = self._loop.time()
+        self._transport.write(out[0] if len(out) == 1 else b"".join(out))
+        if close:
+            self._closing = True
+            self._drop_requests()
+            self._transport.close()
+
+    def close_soon(self) -> None:
+        """Ends the connection: at once where it is idle, else behind the answers that are due."""
+        if self._request is None and not self._waiting:
+            self._closing = True
+            if self._transport is not None:
+                self._transport.close()
+        elif self._waiting and self._waiting[-1].output is None:
+            self._last = self._waiting[-1]
+
+    def sweep(self, now: float, limits: CallerLimits) -> None:
+        """Ends the connection where its caller is too slow or idle for long."""
+        if self._transport is None:
+            return
+        unread = self._transport.get_write_buffer_size()
+        if unread > MAX_UNREAD_BYTES or (unread and now > self.active_at + UNREAD_S):
+            self._transport.abort()
+        elif self._in_head and now > self.began_at + limits.header_ms / 1000:
+            self._fail(408, b"request head did not come in time")
+        elif self._request is not None and now > self.active_at + limits.idle_ms / 1000:
+            self._fail(408, b"request body did not come in time")
+        elif not self._waiting and now > self.active_at + limits.idle_ms / 1000:
+            self.close_soon()
+
+
+class CallerServer:
+    """Listens for callers and hands their requests to `handler`."""
+
+    def __init__(
+        self,
+        names: HeaderNames,
+        handler: Callable[[IncomingRequest], None],
+        on_unread: Callable[[int, bytes], None],
+    ) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.handler = handler
+        self.on_unread = on_unread
+        self.limits = CallerLimits()
+        self.connections: set[CallerConnection] = set()
+        lowered = names.lowered()
+        self.read_headers = {lowered[field]: field for field in ("attempt", "deadline", "key")}
+        self.read_headers |= {b"host": "host", b"connection": "connection", b"expect": "expect"}
+        self.own_headers = {lowered[field] for field in ("customer", "caller", "expect")}
+        self._server: asyncio.Server | None = None
+        self._sweeper: asyncio.TimerHandle | None = None
+
+    async def start(self, address: str) -> None:
+        """Listens. Raises OSError."""
+        host, port = split_address(address)
+        self._server = await self.loop.create_server(
+            lambda: CallerConnection(self), host, port, backlog=BACKLOG
+        )
+        self._sweeper = self.loop.call_later(SWEEP_S, self._sweep)
+
+    def _sweep(self) -> None:
+        now = self.loop.time()
+        for conn in list(self.connections):
+            conn.sweep(now, self.limits)
+        self._sweeper = self.loop.call_later(SWEEP_S, self._sweep)
+
+    def stop_listening(self) -> None:
+        """Takes no more connections."""
+        if self._server is not None:
+            self._server.close()
+
+    def close_soon(self) -> None:
+        """Ends idle connections now and the others behind the answers that are due."""
+        for conn in list(self.connections):
+            conn.close_soon()
+
+    async def close(self) -> None:
+        """Ends everything."""
+        self.stop_listening()
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        for conn in list(self.connections):
+            if conn._transport is not None:
+                conn._transport.close()
--- /dev/null
+++ b/src/marjoramvalve/h1/upstreams.py
@@ -0,0 +1,320 @@
+"""Connections to the upstream beside: one exchange at a time, answers whole or not at all."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import httptools
+
+from marjoramvalve.h1.names import CONNECTION_HEADERS, HeaderNames
+from marjoramvalve.links import split_address
+
+CONNECT_S = 1.0  # The upstream stands on the same machine; a lost packet is not to be expected.
+IDLE_S = 4.0  # Under the idle time-outs that upstreams usually have.
+IDLE_MARGIN_S = 1.0  # Upstreams tell their time-out in whole seconds.
+FRESH_S = 0.25  # A connection idle for less is taken to be open still at the other end.
+MAX_ANSWER_BYTES = 64 << 20
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamAnswer:
+    """A whole answer. `head` holds the header lines to return; `not_run` is the upstream's word."""
+
+    status: int
+    head: bytes
+    body: bytes
+    not_run: bool
+    stamped: bool
+
+
+class Exchange:
+    """A request on its way to the upstream, and what to call once.
+
+    `on_answer` gets a whole answer; `on_broken` gets a detail and whether the request can not
+    have been read by the upstream.
+    """
+
+    __slots__ = ("attempt", "conn", "is_head", "on_answer", "on_broken", "raw", "repeatable")
+
+    def __init__(
+        self,
+        raw: bytes,
+        attempt: bytes,
+        repeatable: bool,
+        is_head: bool,
+        on_answer: Callable[[UpstreamAnswer], None],
+        on_broken: Callable[[str, bool], None],
+    ) -> None:
+        self.raw = raw
+        self.attempt = attempt
+        self.repeatable = repeatable
+        self.is_head = is_head
+        self.on_answer = on_answer
+        self.on_broken = on_broken
+        self.conn: UpstreamConnection | None = None
+
+
+class UpstreamConnection(asyncio.Protocol):
+    """One connection to the upstream."""
+
+    def __init__(self, pool: "UpstreamPool") -> None:
+        self._pool = pool
+        self._transport: asyncio.Transport | None = None
+        self._parser: httptools.HttpResponseParser | None = None
+        self.exchange: Exchange | None = None
+        self.idle_until = 0.0
+        self.idle_since = 0.0
+        self._reset()
+
+    def _reset(self) -> None:
+        self._lines: list[bytes] = []
+        self._body: list[bytes] = []
+        self._size = 0
+        self._attempt: bytes | None = None
+        self._not_run = False
+        self._stamped = False
+        self._framed = False
+        self._close = False
+        self._keep_s = IDLE_S + IDLE_MARGIN_S
+        self._headed = False
+
+    @property
+    def is_open(self) -> bool:
+        """Tells whether the connection can be used."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport."""
+        self._transport = transport
+
+    def send(self, exchange: Exchange) -> None:
+        """Sends a whole request."""
+        self.exchange = exchange
+        exchange.conn = self
+        if self._parser is None:
+            self._parser = httptools.HttpResponseParser(self)
+        self._reset()
+        self._transport.write(exchange.raw)
+
+    def data_received(self, data: bytes) -> None:
+        """Feeds the parser. Bytes that nobody waits for end the connection."""
+        if self.exchange is None:
+            self.abort()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
+            self._break(f"answer does not parse: {exc}")
+
+    def eof_received(self) -> bool:
+        """Completes an answer that has no length of its own."""
+        if self.exchange is not None and self._headed and not self._framed:
+            self._close = True
+            self._finish()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends the exchange as broken."""
+        self._transport = None
+        self._pool.discard(self)
+        self._break(f"upstream closed the connection: {exc or 'end of stream'}")
+
+    def _break(self, detail: str) -> None:
+        exchange, self.exchange = self.exchange, None
+        self.abort()
+        if exchange is not None:
+            exchange.on_broken(detail, False)
+
+    def abort(self) -> None:
+        """Closes the connection, which tells the upstream to stop."""
+        self.exchange = None
+        if self._transport is not None:
+            self._transport.abort()
+
+    # Parser
+
+    def on_message_begin(self) -> None:
+        """Starts an answer; one that nobody waits for poisons the connection."""
+        if self.exchange is None:
+            self._close = True
+        else:
+            self._reset()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keeps a header, reads it or leaves it out."""
+        lower = name.lower()
+        field = self._pool.read_headers.get(lower)
+        if field is not None:
+            self._read_header(field, name, value)
+        elif lower not in CONNECTION_HEADERS:
+            self._lines.append(b"%b: %b\r\n" % (name, value))
+
+    def _read_header(self, field: str, name: bytes, value: bytes) -> None:
+        match field:
+            case "attempt":
+                self._attempt = value
+                self._lines.append(b"%b: %b\r\n" % (name, value))
+            case "not_run":
+                self._not_run = True
+            case "stamp":
+                self._stamped = True
+                self._lines.append(b"%b: %b\r\n" % (name, value))
+            case "framing":
+                self._framed = True
+            case "connection":
+                self._close = self._close or b"close" in value.lower()
+            case "keep-alive":
+                for part in value.split(b","):
+                    key, _, seconds = part.strip().partition(b"=")
+                    if key.lower() == b"timeout" and seconds.isdigit():
+                        self._keep_s = float(seconds)
+
+    def on_headers_complete(self) -> None:
+        """Ends the head; for HEAD, the whole answer."""
+        self._headed = True
+        status = self._parser.get_status_code()
+        if status < 200:
+            return
+        if status in (204, 304):
+            self._framed = True
+        if self.exchange is not None and self.exchange.is_head:
+            self._close = True
+            self._finish()
+
+    def on_body(self, part: bytes) -> None:
+        """Takes a part of the body."""
+        self._size += len(part)
+        if self._size > MAX_ANSWER_BYTES:
+            self._break(f"answer is above {MAX_ANSWER_BYTES} bytes")
+            return
+        self._body.append(part)
+
+    def on_message_complete(self) -> None:
+        """Ends an answer."""
+        if self.exchange is None or self._parser.get_status_code() < 200:
+            return
+        if self._attempt != self.exchange.attempt:
+            self._pool.on_stray(self.exchange.attempt, self._attempt)
+            if self._close:
+                self._break("answer belongs to another request, and the connection ends")
+            return
+        self._finish()
+
+    def _finish(self) -> None:
+        exchange = self.exchange
+        if self._attempt != exchange.attempt:
+            self._break("answer belongs to another request")
+            return
+        self.exchange = None
+        body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
+        answer = UpstreamAnswer(
+            self._parser.get_status_code(),
+            b"".join(self._lines),
+            body,
+            self._not_run,
+            self._stamped,
+        )
+        # The rest of what has come is read first: extra bytes must not meet the next request.
+        self._pool.loop.call_soon(self._pool.release, self, self._close, self._keep_s)
+        exchange.on_answer(answer)
+
+
+class UpstreamPool:
+    """Connections to one upstream.
+
+    Requests that may not be repeated go over a new connection or one that was in use just now:
+    on one that has been idle the upstream may be closing, and nobody would know whether the
+    request ran.
+    """
+
+    def __init__(self, names: HeaderNames, on_stray: Callable[[bytes, bytes | None], None]) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.on_stray = on_stray
+        self.most = 256
+        self.opened = 0
+        self._address = ""
+        self._idle: list[UpstreamConnection] = []
+        self._all: set[UpstreamConnection] = set()
+        self._connecting: set[asyncio.Task] = set()
+        lowered = names.lowered()
+        self.read_headers = {lowered[field]: field for field in ("attempt", "not_run", "stamp")}
+        self.read_headers |= {lowered["load"]: "load", b"connection": "connection"}
+        self.read_headers |= {b"keep-alive": "keep-alive"}
+        self.read_headers |= {b"content-length": "framing", b"transfer-encoding": "framing"}
+
+    def set_address(self, address: str) -> None:
+        """Sets where the upstream listens; connections to another address are dropped."""
+        if address != self._address:
+            self._address = address
+            self.drop_idle()
+
+    def drop_idle(self) -> None:
+        """Closes the connections that are not in use."""
+        idle, self._idle = self._idle, []
+        for conn in idle:
+            conn.abort()
+
+    def send(self, exchange: Exchange) -> None:
+        """Sends a request over a kept connection or a new one."""
+        now = self.loop.time()
+        while self._idle:
+            conn = self._idle.pop()
+            if not conn.is_open or now >= conn.idle_until:
+                conn.abort()
+                continue
+            if not exchange.repeatable and now > conn.idle_since + FRESH_S:
+                self._idle.append(conn)
+                break
+            conn.send(exchange)
+            return
+        if len(self._all) >= self.most and self._idle:
+            self._idle.pop(0).abort()
+        task = self.loop.create_task(self._connect(exchange))
+        self._connecting.add(task)
+        task.add_done_callback(self._connecting.discard)
+
+    async def _connect(self, exchange: Exchange) -> None:
+        host, port = split_address(self._address)
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                _, conn = await self.loop.create_connection(
+                    lambda: UpstreamConnection(self), host, port
+                )
+        except (OSError, TimeoutError) as exc:
+            exchange.on_broken(f"upstream at {self._address} takes no connection: {exc!r}", True)
+            return
+        self.opened += 1
+        self._all.add(conn)
+        if exchange.raw:
+            conn.send(exchange)
+        else:
+            conn.abort()
+
+    def cancel(self, exchange: Exchange) -> None:
+        """Gives an exchange up; its connection is closed and nothing more is called."""
+        exchange.on_answer = lambda answer: None
+        exchange.on_broken = lambda detail, unread: None
+        exchange.raw = b""
+        if exchange.conn is not None and exchange.conn.exchange is exchange:
+            exchange.conn.abort()
+
+    def release(self, conn: UpstreamConnection, should_close: bool, keep_s: float) -> None:
+        """Takes a connection back after a whole answer."""
+        if should_close or conn._close or not conn.is_open or conn.exchange is not None:
+            if conn.exchange is None:
+                conn.abort()
+            return
+        conn.idle_since = self.loop.time()
+        conn.idle_until = conn.idle_since + max(0.0, min(keep_s - IDLE_MARGIN_S, IDLE_S))
+        self._idle.append(conn)
+
+    def discard(self, conn: UpstreamConnection) -> None:
+        """Forgets a connection that has ended."""
+        self._all.discard(conn)
+        if conn in self._idle:
+            self._idle.remove(conn)
+
+    def close(self) -> None:
+        """Closes everything."""
+        for conn in list(self._all):
+            conn.abort()
--- /dev/null
+++ b/src/marjoramvalve/links/frames.py
@@ -0,0 +1,147 @@
+"""Framed byte streams between instances: length, kind and payload, many frames to a write."""
+
+import asyncio
+import struct
+from typing import Protocol
+
+HEADER = struct.Struct("<IB")
+MAX_FRAME_BYTES = 96 << 20  # A whole body at the largest limit, with its head.
+MAX_UNSENT_BYTES = 32 << 20  # A peer that lets more than this pile up counts as lost.
+CONNECT_S = 1.0  # Several round trips between any two failure domains, and a lost packet.
+BACKLOG = 512  # Every instance of a fleet may connect again at the same moment.
+
+
+class StreamOwner(Protocol):
+    """What a stream tells its owner."""
+
+    def stream_opened(self, stream: "FrameStream") -> None:
+        """The stream can be used."""
+
+    def stream_frame(self, stream: "FrameStream", kind: int, payload: bytes) -> None:
+        """A whole frame has come."""
+
+    def stream_closed(self, stream: "FrameStream") -> None:
+        """The stream has ended, by either side."""
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Returns host and port of `host:port`."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+class FrameStream(asyncio.Protocol):
+    """One connection that carries frames both ways.
+
+    Frames sent within one pass of the loop leave in one write.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, owner: StreamOwner) -> None:
+        self._loop = loop
+        self._owner = owner
+        self._transport: asyncio.Transport | None = None
+        self._out: list[bytes] = []
+        self._parts: list[bytes] = []
+        self._size = 0
+        self._need = HEADER.size
+        self.heard_at = loop.time()
+        self.tag: object = None  # Free for the owner.
+
+    @property
+    def is_open(self) -> bool:
+        """Tells whether frames can be sent."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Tells the owner."""
+        self._transport = transport
+        self._owner.stream_opened(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tells the owner."""
+        self._transport = None
+        self._out.clear()
+        self._owner.stream_closed(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Hands whole frames on; keeps the rest."""
+        self.heard_at = self._loop.time()
+        self._parts.append(data)
+        self._size += len(data)
+        if self._size < self._need:
+            return
+        data = self._parts[0] if len(self._parts) == 1 else b"".join(self._parts)
+        pos, size = 0, len(data)
+        self._need = HEADER.size
+        while size - pos >= HEADER.size:
+            length, kind = HEADER.unpack_from(data, pos)
+            if length > MAX_FRAME_BYTES:
+                self.abort()
+                return
+            end = pos + HEADER.size + length
+            if end > size:
+                self._need = HEADER.size + length
+                break
+            self._owner.stream_frame(self, kind, data[pos + HEADER.size : end])
+            if not self.is_open:
+                return
+            pos = end
+        self._parts = [data[pos:]] if pos < size else []
+        self._size = size - pos
+
+    def send(self, kind: int, payload: bytes) -> None:
+        """Sends a frame at the end of this pass of the loop."""
+        if self._transport is None:
+            return
+        if not self._out:
+            self._loop.call_soon(self._flush)
+        self._out.append(HEADER.pack(len(payload), kind) + payload)
+
+    def _flush(self) -> None:
+        out, self._out = self._out, []
+        if self._transport is None or not out:
+            return
+        self._transport.write(out[0] if len(out) == 1 else b"".join(out))
+        if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            self.abort()
+
+    def close(self) -> None:
+        """Sends what is due and closes."""
+        self._flush()
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Closes at once; nothing more is read."""
+        if self._transport is not None:
+            self._transport.abort()
+
+
+class Listener:
+    """Takes in streams at an address."""
+
+    def __init__(self, owner: StreamOwner) -> None:
+        self._owner = owner
+        self._server: asyncio.Server | None = None
+
+    async def start(self, address: str) -> None:
+        """Listens. Raises OSError."""
+        loop = asyncio.get_running_loop()
+        host, port = split_address(address)
+        self._server = await loop.create_server(
+            lambda: FrameStream(loop, self._owner), host, port, backlog=BACKLOG
+        )
+
+    async def close(self) -> None:
+        """Takes in no more streams."""
+        if self._server is not None:
+            self._server.close()
+
+
+async def connect_stream(address: str, owner: StreamOwner) -> FrameStream:
+    """Connects to an address. Raises OSError or TimeoutError."""
+    loop = asyncio.get_running_loop()
+    host, port = split_address(address)
+    async with asyncio.timeout(CONNECT_S):
+        _, stream = await loop.create_connection(lambda: FrameStream(loop, owner), host, port)
+    return stream
--- /dev/null
+++ b/src/marjoramvalve/mesh/calls.py
@@ -0,0 +1,67 @@
+"""A call at its egress."""
+
+from typing import TYPE_CHECKING
+
+from marjoramvalve.h1 import IncomingRequest
+from marjoramvalve.mesh.routes import Target
+
+if TYPE_CHECKING:
+    from marjoramvalve.mesh.peers import Peer
+
+
+class Call:
+    """One request of a caller on its way. Times are of the loop's clock.
+
+    `runs` counts the upstreams that may have run it, `tries` the ingress nodes that were asked.
+    """
+
+    __slots__ = (
+        "attempt",
+        "body",
+        "call_id",
+        "came_back",
+        "customer",
+        "deadline",
+        "done",
+        "head",
+        "is_head",
+        "is_sub_call",
+        "maybe_ran",
+        "peer",
+        "rank",
+        "repeatable",
+        "request",
+        "route_name",
+        "runs",
+        "sent_at",
+        "service",
+        "target",
+        "timely",
+        "tried",
+        "tries",
+    )
+
+    def __init__(self, call_id: int, request: IncomingRequest, target: Target) -> None:
+        self.call_id = call_id
+        self.request = request
+        self.target = target
+        self.route_name = target.raw_name
+        self.attempt = request.attempt
+        self.body = request.body
+        self.head = b""
+        self.is_head = request.method == b"HEAD"
+        self.repeatable = target.repeatable
+        self.deadline = 0.0
+        self.timely = 0.0
+        self.rank = 0
+        self.is_sub_call = False
+        self.customer = ""
+        self.service = ""
+        self.peer: Peer | None = None
+        self.sent_at = 0.0
+        self.tried: set[Peer] = set()
+        self.tries = 0
+        self.runs = 0
+        self.maybe_ran = False
+        self.came_back = False
+        self.done = False
--- /dev/null
+++ b/src/marjoramvalve/mesh/egress.py
@@ -0,0 +1,447 @@
+"""Egress: takes requests of the callers beside it, decides on them and sends them on."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from itertools import count
+from typing import Protocol
+
+import structlog
+
+from marjoramvalve.h1 import HeaderNames, IncomingRequest
+from marjoramvalve.mesh.budgets import RepeatBudget
+from marjoramvalve.mesh.calls import Call
+from marjoramvalve.mesh.frames import Hello, Why
+from marjoramvalve.mesh.ingress import Ingress, Job
+from marjoramvalve.mesh.peers import FarPeer, OwnPeer, Peer
+from marjoramvalve.mesh.places import RouteMeans, choose
+from marjoramvalve.mesh.routes import RouteTable
+from marjoramvalve.mesh.timers import Deadlines
+from marjoramvalve.outcomes import Reason
+
+CHECK_S = 0.1  # How often links with calls under way are looked at.
+MAX_TRIES = 4  # Ingress nodes asked for one call before it is refused.
+DEFAULT_DEADLINE_MS = 30_000  # For callers that name none.
+LEAST_AFTER_S, JITTER = 0.1, 0.5  # Refused callers come back over a spread of this part.
+NO_UPSTREAM_AFTER_S = 0.3  # About the time in which another upstream is found.
+NO_CONFIG_AFTER_S = 0.5  # About the time of one round with the controllers.
+SERVER_ERROR = 500
+RUN_STATEMENTS = frozenset({408, 421, 429, 503})  # Statuses that say a request has not run.
+PROBLEM = b"Content-Type: application/problem+json\r\n"
+
+log = structlog.get_logger("egress")
+
+
+class Limiter(Protocol):
+    """Fleet-wide rates of customers."""
+
+    def admit(self, customer: str) -> float | None:
+        """Returns 0 where a call may go on, seconds to stay away, or None to wait for tokens."""
+
+    def wait(self, customer: str, resume: Callable[[float], None]) -> None:
+        """Calls `resume` once, with what `admit` would return."""
+
+
+class Gate(Protocol):
+    """Admission of root calls by what they cause further down."""
+
+    def admit(self, route: bytes, service: str, rank: int) -> float:
+        """Returns 0 where a root call is let in, or seconds to stay away."""
+
+
+class Egress:
+    """Decisions on the calls of the callers of one instance."""
+
+    def __init__(
+        self,
+        names: HeaderNames,
+        service: str,
+        hello: Hello,
+        ingress: Ingress,
+        limiter: Limiter,
+        gate: Gate,
+        deadlines: Deadlines,
+        rng: random.Random,
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._names = names
+        self._service = service
+        self._hello = hello
+        self._ingress = ingress
+        self._limiter = limiter
+        self._gate = gate
+        self._deadlines = deadlines
+        self._rng = rng
+        self._ids = count(1)
+        self._means = RouteMeans()
+        self._budget = RepeatBudget()
+        self._attempt_name = names.attempt.encode()
+        self._caller_line = f"{names.caller}: {service}\r\n".encode()
+        self._customer_name = names.customer.encode()
+        self._own = OwnPeer(hello.name, service, ingress, self)
+        self._far: dict[str, FarPeer] = {}
+        self._retired: dict[str, FarPeer] = {}
+        self._by_service: dict[str, list[Peer]] = {service: [self._own]}
+        self._checker: asyncio.TimerHandle | None = None
+        self.table: RouteTable | None = None
+        self.is_confirmed: Callable[[], bool] = lambda: False
+        self.under_way = 0
+        self.counts: dict[str, int] = {}
+
+    # Peers
+
+    def set_peers(self, wanted: dict[str, tuple[str, str, bool]]) -> None:
+        """Keeps links to the ingress nodes named: service, address and nearness by name."""
+        for name, peer in list(self._far.items()):
+            found = wanted.get(name)
+            if found is None or found[1] != peer.address:
+                del self._far[name]
+                self._retire(peer)
+        for name, (service, address, near) in wanted.items():
+            if name not in self._far and name != self._hello.name:
+                peer = self._retired.pop(address, None)
+                if peer is None:
+                    peer = FarPeer(name, service, address, near, self._hello, self)
+                    peer.start()
+                self._far[name] = peer
+        self._by_service = {}
+        for peer in (self._own, *self._far.values()):
+            self._by_service.setdefault(peer.service, []).append(peer)
+
+    def _retire(self, peer: FarPeer) -> None:
+        """Keeps the link to a node that is no longer named until its calls have ended."""
+        if peer.calls:
+            self._retired[peer.address] = peer
+            self._arm_check()
+        else:
+            peer.close()
+
+    def _check(self) -> None:
+        self._checker = None
+        now = self._loop.time()
+        waiting = False
+        for address, peer in list(self._retired.items()):
+            if not peer.calls:
+                del self._retired[address]
+                peer.close()
+        for peer in (*self._far.values(), *self._retired.values()):
+            if peer.calls:
+                waiting = True
+                peer.check(now, self._move_calls)
+        if waiting:
+            self._arm_check()
+
+    def _arm_check(self) -> None:
+        if self._checker is None:
+            self._checker = self._loop.call_later(CHECK_S, self._check)
+
+    def _move_calls(self, peer: FarPeer) -> None:
+        """Sends what may be repeated elsewhere while a link says nothing."""
+        for call in list(peer.calls.values()):
+            if call.repeatable and call.runs < call.target.attempts:
+                if not self._has_other(call, peer) or not self._budget.take(call.service):
+                    continue
+                log.info("call.moved", request=call.attempt, silent_peer=peer.name)
+                peer.cancel(call, False)
+                call.tried.add(peer)
+                self._dispatch(call)
+
+    def _has_other(self, call: Call, peer: Peer) -> bool:
+        others = self._by_service.get(call.service, ())
+        return any(item is not peer and item.usable for item in others)
+
+    def close(self) -> None:
+        """Ends the links."""
+        if self._checker is not None:
+            self._checker.cancel()
+        for peer in (*self._far.values(), *self._retired.values()):
+            peer.close()
+
+    # Decisions
+
+    def handle(self, request: IncomingRequest) -> None:
+        """Decides on a request."""
+        table = self.table
+        if table is None:
+            self._refuse_request(request, Reason.STALE_CONFIG, 503, NO_CONFIG_AFTER_S)
+            return
+        target = table.match(request.host, request.target)
+        if target is None:
+            if self.is_confirmed():
+                self._refuse_request(request, Reason.NO_ROUTE, 404, 0.0)
+            else:
+                self._refuse_request(request, Reason.STALE_CONFIG, 503, NO_CONFIG_AFTER_S)
+            return
+        if not request.attempt:
+            self._refuse_request(request, Reason.BAD_REQUEST, 400, 0.0)
+            return
+        call = Call(next(self._ids), request, target)
+        deadline_ms = request.deadline_ms
+        if deadline_ms is None:
+            deadline_ms = DEFAULT_DEADLINE_MS
+        call.deadline = request.received_at + min(deadline_ms / 1000, target.deadline_s)
+        call.timely = min(call.deadline, request.received_at + target.objective_s)
+        if self._identify(call, table):
+            self._admit(call)
+
+    def _identify(self, call: Call, table: RouteTable) -> bool:
+        """Finds out for whom a call is; False once it is refused."""
+        request, target = call.request, call.target
+        call.rank = 2 * target.rank + 1
+        if request.key is None and target.open:
+            return True
+        if request.key is None:
+            parent = self._parent(request)
+            if parent is None and not self._ingress.running:
+                self._refuse_request(request, Reason.NO_KEY, 401, 0.0)
+                return False
+            call.is_sub_call = True
+            call.rank = 2 * target.rank if parent is None else parent.rank & ~1
+            return True
+        customer = table.customer_of(request.key)
+        if not self.is_confirmed():
+            self._refuse_request(request, Reason.STALE_CONFIG, 503, NO_CONFIG_AFTER_S)
+            return False
+        if customer is None:
+            if target.open:
+                return True
+            self._refuse_request(request, Reason.UNKNOWN_KEY, 401, 0.0)
+            return False
+        call.customer = customer
+        rank = table.customer(customer).rank
+        if rank is not None:
+            call.rank = 2 * rank + 1
+        return True
+
+    def _parent(self, request: IncomingRequest) -> Job | None:
+        """Returns the call that the upstream beside makes this one for, where its id tells."""
+        return self._ingress.running.get(request.attempt.rpartition(b".")[0])
+
+    def _admit(self, call: Call) -> None:
+        request = call.request
+        if call.customer:
+            after_s = self._limiter.admit(call.customer)
+            if after_s is None:
+                self._limiter.wait(call.customer, lambda after: self._on_tokens(call, after))
+                request.on_gone = lambda: self._gone(call)
+                return
+            if after_s > 0:
+                self._refuse_request(request, Reason.RATE, 429, after_s)
+                return
+        self._start(call)
+
+    def _on_tokens(self, call: Call, after_s: float) -> None:
+        if call.done:
+            return
+        if after_s > 0:
+            call.done = True
+            self._refuse_request(call.request, Reason.RATE, 429, after_s)
+        else:
+            self._start(call)
+
+    def _start(self, call: Call) -> None:
+        call.service = call.target.next_service()
+        if not call.is_sub_call:
+            after_s = self._gate.admit(call.route_name, call.service, call.rank)
+            if after_s > 0:
+                call.done = True
+                self._refuse_request(call.request, Reason.OVERLOAD, 503, after_s)
+                return
+        request = call.request
+        customer = b""
+        if call.customer:
+            customer = b"%b: %b\r\n" % (self._customer_name, call.customer.encode())
+        call.head = b"%b %b HTTP/1.1\r\n%b%b: %b\r\n%b%b" % (
+            request.method,
+            request.target,
+            request.head,
+            self._attempt_name,
+            call.attempt,
+            self._caller_line,
+            customer,
+        )
+        request.on_gone = lambda: self._gone(call)
+        self.under_way += 1
+        self._deadlines.add(call.deadline, lambda: self._expire(call))
+        self._budget.first(call.service)
+        self._dispatch(call)
+
+    # Sending
+
+    def _dispatch(self, call: Call) -> None:
+        now = self._loop.time()
+        peers = self._by_service.get(call.service, ())
+        usable = [(p, p.place) for p in peers if p not in call.tried and p.usable]
+        peer = choose(usable, self._means.of(call.target.name), now)
+        if peer is None:
+            if call.maybe_ran:
+                self._fail(call, Reason.UPSTREAM_FAILED, 502, "no other upstream")
+            else:
+                self._refuse(call, Reason.NO_UPSTREAM, NO_UPSTREAM_AFTER_S, "no usable upstream")
+            return
+        call.peer = peer
+        call.tries += 1
+        call.sent_at = now
+        peer.send(call)
+        if peer is not self._own:
+            self._arm_check()
+
+    def call_answered(
+        self, peer: Peer, call: Call, status: int, head: bytes, body: bytes, service_s: float
+    ) -> None:
+        """Passes an answer of the upstream on, or tries again."""
+        if call.done:
+            return
+        failed = status >= SERVER_ERROR
+        now = self._loop.time()
+        if failed:
+            peer.place.note(1.0, True, now)
+        else:
+            peer.place.note(self._means.note(call.target.name, service_s), False, now)
+        call.runs += 1
+        if failed and self._may_repeat(call, peer):
+            log.info("call.repeated", request=call.attempt, peer=peer.name, status=status)
+            call.maybe_ran = True
+            call.tried.add(peer)
+            self._dispatch(call)
+            return
+        if status in RUN_STATEMENTS and not call.repeatable:
+            self._fail(call, Reason.UPSTREAM_FAILED, 502, f"upstream gave {status} and may have run")
+            return
+        self._end(call)
+        if failed:
+            log.info("call.upstream_error", request=call.attempt, peer=peer.name, status=status)
+        call.request.respond(status, head, body)
+
+    def _may_repeat(self, call: Call, peer: Peer) -> bool:
+        return (
+            call.repeatable
+            and call.runs < call.target.attempts
+            and self._loop.time() < call.timely
+            and self._has_other(call, peer)
+            and self._budget.take(call.service)
+        )
+
+    def call_refused(self, peer: Peer, call: Call, why: Why, after_s: float) -> None:
+        """Tries another ingress, or refuses the call."""
+        if call.done:
+            return
+        call.tried.add(peer)
+        arrived = why is Why.SHED
+        if why is Why.TOO_LATE or call.tries >= MAX_TRIES:
+            self._refuse(call, Reason.OVERLOAD, after_s, why.name)
+        elif arrived and not self._budget.take(call.service):
+            self._refuse(call, Reason.OVERLOAD, after_s, "repeat budget is spent")
+        elif not self._has_untried(call):
+            reason = Reason.OVERLOAD if why in (Why.BUSY, Why.SHED) else Reason.NO_UPSTREAM
+            self._refuse(call, reason, after_s, why.name)
+        else:
+            self._dispatch(call)
+
+    def _has_untried(self, call: Call) -> bool:
+        peers = self._by_service.get(call.service, ())
+        return any(item.usable for item in peers if item not in call.tried)
+
+    def call_failed(self, peer: Peer, call: Call, why: Why) -> None:
+        """Tries again what may be repeated, or fails the call."""
+        if call.done:
+            return
+        now = self._loop.time()
+        call.runs += 1
+        call.maybe_ran = True
+        call.tried.add(peer)
+        if why is Why.DEADLINE:
+            self._fail(call, Reason.DEADLINE, 504, "upstream did not answer in time")
+            return
+        peer.place.note(1.0, True, now)
+        if self._may_repeat(call, peer):
+            log.info("call.repeated", request=call.attempt, peer=peer.name, why=why.name)
+            self._dispatch(call)
+        else:
+            self._fail(call, Reason.UPSTREAM_FAILED, 502, why.name)
+
+    # Ends
+
+    def _end(self, call: Call) -> None:
+        call.done = True
+        self.under_way -= 1
+
+    def _expire(self, call: Call) -> None:
+        if call.done:
+            return
+        if call.peer is not None:
+            call.peer.cancel(call, not call.repeatable)
+        self._fail(call, Reason.DEADLINE, 504, "time is up")
+
+    def _gone(self, call: Call) -> None:
+        """Stops the work for a caller that has left; what may not be repeated runs to its end."""
+        if call.done:
+            return
+        call.done = True
+        if call.peer is None:
+            return
+        self.under_way -= 1
+        call.peer.cancel(call, not call.repeatable)
+        self._count("gone")
+
+    def _fail(self, call: Call, reason: Reason, status: int, detail: str) -> None:
+        self._end(call)
+        self._log_end("call.failed", call, reason, detail)
+        self._respond(call.request, reason, status, 0.0, "unknown")
+
+    def _refuse(self, call: Call, reason: Reason, after_s: float, detail: str) -> None:
+        if call.maybe_ran and not call.repeatable:
+            self._fail(call, Reason.UPSTREAM_FAILED, 502, detail)
+            return
+        self._end(call)
+        self._log_end("call.refused", call, reason, detail)
+        self._respond(call.request, reason, 503, after_s, "not-run")
+
+    def _log_end(self, event: str, call: Call, reason: Reason, detail: str) -> None:
+        log.info(
+            event,
+            request=call.attempt,
+            route=call.target.name,
+            service=call.service,
+            customer=call.customer,
+            rank=call.rank,
+            reason=str(reason),
+            detail=detail,
+            peer=call.peer.name if call.peer is not None else "",
+            tries=call.tries,
+            runs=call.runs,
+            held_ms=int((self._loop.time() - call.request.received_at) * 1000),
+            version=self.table.version,
+        )
+
+    def _refuse_request(
+        self, request: IncomingRequest, reason: Reason, status: int, after_s: float
+    ) -> None:
+        version = self.table.version if self.table is not None else 0
+        log.info(
+            "request.refused",
+            request=request.attempt,
+            reason=str(reason),
+            status=status,
+            version=version,
+            confirmed=self.is_confirmed(),
+            after_s=round(after_s, 3),
+        )
+        self._respond(request, reason, status, after_s, "not-run")
+
+    def _respond(
+        self, request: IncomingRequest, reason: Reason, status: int, after_s: float, run: str
+    ) -> None:
+        self._count(str(reason))
+        head = PROBLEM
+        if after_s > 0 and status in RUN_STATEMENTS:
+            spread_s = max(LEAST_AFTER_S, after_s) * (1 + JITTER * self._rng.random())
+            head += b"Retry-After: %.2f\r\n" % spread_s
+        body = b'{"type":"urn:marjoramvalve:refusal:%b","run":"%b"}' % (
+            reason.value.encode(),
+            run.encode(),
+        )
+        request.respond(status, head, body)
+
+    def _count(self, name: str) -> None:
+        self.counts[name] = self.counts.get(name, 0) + 1
--- /dev/null
+++ b/src/marjoramvalve/mesh/ingress.py
@@ -0,0 +1,324 @@
+"""Ingress: takes calls for the upstream beside it, within the number it may run at once."""
+
+import asyncio
+from dataclasses import dataclass, replace
+from typing import Protocol
+
+import structlog
+
+from marjoramvalve.h1 import Exchange, HeaderNames, UpstreamAnswer, UpstreamPool
+from marjoramvalve.mesh.frames import Why
+from marjoramvalve.mesh.timers import Deadlines
+from marjoramvalve.mesh.waiting import ServiceTimes, WaitingRoom
+
+SHED_FACTOR = 0.95  # An upstream that sheds is given a twentieth less at once.
+REGAIN_PER_S = 1.0  # Slots a second by which the limit grows back towards the announced one.
+RETRY_CONNECT_S = 0.25  # How often a connection to an upstream that takes none is tried again.
+LEAST_AFTER_S = 0.05  # Least time after which a refused call is told to come back.
+SPARE_S = 0.003  # Way back of an answer to the caller's node.
+CUT_GRACE_S = 0.1  # The upstream ends work at its deadline by itself; later it is cut.
+BODY_METHODS = (b"POST", b"PUT", b"PATCH")
+
+log = structlog.get_logger("ingress")
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamState:
+    """What the upstream beside says of itself. `born` is the time of its start in milliseconds.
+
+    `cold_until` is a time of the loop's clock, up to which it is slow after its start.
+    """
+
+    instance: str = ""
+    service: str = ""
+    slots: int = 0
+    ready: bool = False
+    born: int = 0
+    seq: int = 0
+    cold_until: float = 0.0
+
+
+class Port(Protocol):
+    """Where the outcome of a job goes."""
+
+    def job_answered(self, job: "Job", answer: UpstreamAnswer, service_s: float) -> None:
+        """The upstream gave a whole answer."""
+
+    def job_refused(self, job: "Job", why: Why, after_s: float) -> None:
+        """The request has not run and will not."""
+
+    def job_failed(self, job: "Job", why: Why) -> None:
+        """The request may have run."""
+
+
+class Job:
+    """A call at the ingress. Times are of the loop's clock."""
+
+    __slots__ = (
+        "attempt",
+        "body",
+        "call_id",
+        "deadline",
+        "done",
+        "exchange",
+        "head",
+        "is_head",
+        "is_sub_call",
+        "port",
+        "rank",
+        "repeatable",
+        "route",
+        "started_at",
+        "timely",
+    )
+
+    def __init__(
+        self,
+        port: Port,
+        call_id: int,
+        route: bytes,
+        attempt: bytes,
+        head: bytes,
+        body: bytes,
+        deadline: float,
+        timely: float,
+        rank: int,
+        repeatable: bool,
+        is_head: bool,
+        is_sub_call: bool,
+    ) -> None:
+        self.port = port
+        self.call_id = call_id
+        self.route = route
+        self.attempt = attempt
+        self.head = head
+        self.body = body
+        self.deadline = deadline
+        self.timely = timely
+        self.rank = rank
+        self.repeatable = repeatable
+        self.is_head = is_head
+        self.is_sub_call = is_sub_call
+        self.started_at = 0.0
+        self.exchange: Exchange | None = None
+        self.done = False
+
+
+class Ingress:
+    """Admission and sending for one upstream."""
+
+    def __init__(self, names: HeaderNames, deadlines: Deadlines) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._deadlines = deadlines
+        self._deadline_name = names.deadline.encode()
+        self._expect_name = names.expect.encode()
+        self.pool = UpstreamPool(names, self._on_stray)
+        self.state = UpstreamState()
+        self.stopping = False
+        self._limit = 0.0
+        self._limit_at = self._loop.time()
+        self._unreachable_until = 0.0
+        self._waiting = WaitingRoom()
+        self.times = ServiceTimes()
+        self.running: dict[bytes, Job] = {}
+        self._count = 0
+        self.on_change = lambda: None
+
+    # State of the upstream
+
+    @property
+    def ready(self) -> bool:
+        """Tells whether new calls are taken."""
+        return self.state.ready and not self.stopping and not self._is_unreachable()
+
+    def _is_unreachable(self) -> bool:
+        return self._unreachable_until > self._loop.time()
+
+    @property
+    def limit(self) -> int:
+        """Returns how many requests the upstream may run at once."""
+        now = self._loop.time()
+        most = float(self.state.slots)
+        if self._limit < most:
+            self._limit = min(most, self._limit + REGAIN_PER_S * (now - self._limit_at))
+        else:
+            self._limit = most
+        self._limit_at = now
+        return max(1, int(self._limit)) if most else 0
+
+    @property
+    def load(self) -> tuple[int, int]:
+        """Returns how many calls run and how many wait."""
+        return self._count, len(self._waiting)
+
+    def set_state(self, state: UpstreamState) -> None:
+        """Takes in what the upstream says; one that no longer takes calls gives back its queue."""
+        before, self.state = self.state, state
+        if state.instance != before.instance or state.born != before.born:
+            self._limit = float(state.slots)
+            self.pool.drop_idle()
+            self._unreachable_until = 0.0
+        if state.ready and not before.ready:
+            self._unreachable_until = 0.0
+        if not self.ready:
+            self._bounce(Why.NOT_READY)
+        if replace(state, seq=0, cold_until=0.0) != replace(before, seq=0, cold_until=0.0):
+            log.info(
+                "upstream.state",
+                instance=state.instance,
+                service=state.service,
+                ready=state.ready,
+                slots=state.slots,
+                born=state.born,
+                seq=state.seq,
+            )
+            self.on_change()
+
+    def stop_taking(self) -> None:
+        """Refuses new calls from now on and gives back those that wait."""
+        self.stopping = True
+        self._bounce(Why.STOPPING)
+        self.on_change()
+
+    def _bounce(self, why: Why) -> None:
+        while (job := self._waiting.take()) is not None:
+            self._refuse(job, why, LEAST_AFTER_S)
+
+    # Jobs
+
+    def submit(self, job: Job) -> None:
+        """Takes a call in: runs it, lets it wait or refuses it at once."""
+        now = self._loop.time()
+        if not self.ready:
+            self._refuse(job, Why.STOPPING if self.stopping else Why.NOT_READY, LEAST_AFTER_S)
+            return
+        if self._count < self.limit and not len(self._waiting):
+            self._run(job, now)
+            return
+        service_s = self.times.of(job.route)
+        wait_s = self._waiting.wait_s(job.rank, self.limit)
+        if now + wait_s + service_s > max(job.timely, job.deadline if job.is_sub_call else 0.0):
+            self._refuse(job, Why.BUSY, max(LEAST_AFTER_S, wait_s))
+            return
+        self._waiting.put(job, job.rank, service_s)
+        self._deadlines.add(job.deadline, lambda: self._expire(job))
+
+    def _run(self, job: Job, now: float) -> None:
+        left_ms = int((job.deadline - now - SPARE_S) * 1000)
+        if left_ms <= 0:
+            self._refuse(job, Why.TOO_LATE, LEAST_AFTER_S)
+            return
+        framing = b""
+        if job.body or job.head.startswith(BODY_METHODS):
+            framing = b"Content-Length: %d\r\n" % len(job.body)
+        raw = b"%b%b%b: %d\r\n%b: %b\r\n\r\n%b" % (
+            job.head,
+            framing,
+            self._deadline_name,
+            left_ms,
+            self._expect_name,
+            self.state.instance.encode(),
+            job.body,
+        )
+        job.started_at = now
+        job.exchange = Exchange(
+            raw,
+            job.attempt,
+            job.repeatable,
+            job.is_head,
+            lambda answer: self._on_answer(job, answer),
+            lambda detail, unread: self._on_broken(job, detail, unread),
+        )
+        self._count += 1
+        self.running[job.attempt] = job
+        self._deadlines.add(job.deadline + CUT_GRACE_S, lambda: self._expire(job))
+        self.pool.send(job.exchange)
+
+    def _release(self, job: Job) -> None:
+        job.done = True
+        self._count -= 1
+        if self.running.get(job.attempt) is job:
+            del self.running[job.attempt]
+        self._next()
+
+    def _next(self) -> None:
+        while self._count < self.limit and self.ready:
+            job = self._waiting.take()
+            if job is None:
+                return
+            self._run(job, self._loop.time())
+
+    def _on_answer(self, job: Job, answer: UpstreamAnswer) -> None:
+        now = self._loop.time()
+        service_s = now - job.started_at
+        if answer.status == 421:
+            log.warning("upstream.replaced", request=job.attempt, expected=self.state.instance)
+            self.set_state(replace(self.state, ready=False))
+            self._refuse_sent(job, Why.NOT_READY, LEAST_AFTER_S)
+        elif answer.not_run:
+            self._limit = max(1.0, min(self._limit, self._count) * SHED_FACTOR)
+            log.info("upstream.shed", request=job.attempt, running=self._count, limit=self.limit)
+            self._refuse_sent(job, Why.SHED, LEAST_AFTER_S + self.times.of(job.route))
+        else:
+            if answer.status < 500:
+                self.times.note(job.route, service_s)
+            job.done = True
+            job.port.job_answered(job, answer, service_s)
+            self._release(job)
+
+    def _refuse_sent(self, job: Job, why: Why, after_s: float) -> None:
+        job.done = True
+        job.port.job_refused(job, why, after_s)
+        self._release(job)
+
+    def _on_broken(self, job: Job, detail: str, unread: bool) -> None:
+        log.warning(
+            "upstream.broken", request=job.attempt, instance=self.state.instance, detail=detail
+        )
+        if unread:
+            self._set_unreachable()
+            self._refuse_sent(job, Why.NO_CONNECTION, RETRY_CONNECT_S)
+            return
+        job.done = True
+        job.port.job_failed(job, Why.BROKEN)
+        self._release(job)
+
+    def _set_unreachable(self) -> None:
+        self._unreachable_until = self._loop.time() + RETRY_CONNECT_S
+        self._bounce(Why.NO_CONNECTION)
+        self.on_change()
+        self._loop.call_later(RETRY_CONNECT_S, self.on_change)
+
+    def _expire(self, job: Job) -> None:
+        if job.done:
+            return
+        if job.exchange is None:
+            if self._waiting.remove(job):
+                self._refuse(job, Why.TOO_LATE, LEAST_AFTER_S)
+            return
+        if self._loop.time() < job.deadline + CUT_GRACE_S - 0.001:
+            return
+        log.info("upstream.overdue", request=job.attempt, instance=self.state.instance)
+        self.pool.cancel(job.exchange)
+        job.port.job_failed(job, Why.DEADLINE)
+        self._release(job)
+
+    def cancel(self, job: Job, only_waiting: bool) -> None:
+        """Gives a call up on behalf of its caller."""
+        if job.done:
+            return
+        if job.exchange is None:
+            self._waiting.remove(job)
+            job.done = True
+            return
+        if only_waiting:
+            return
+        self.pool.cancel(job.exchange)
+        self._release(job)
+
+    def _refuse(self, job: Job, why: Why, after_s: float) -> None:
+        job.done = True
+        job.port.job_refused(job, why, after_s)
+
+    def _on_stray(self, expected: bytes, found: bytes | None) -> None:
+        log.warning("upstream.stray_answer", request=expected, found=found)
--- /dev/null
+++ b/src/marjoramvalve/mesh/nodes.py
@@ -0,0 +1,113 @@
+"""A mesh node: callers' side, links and the upstream's side of one instance."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import structlog
+
+from marjoramvalve.h1 import CallerServer, HeaderNames
+from marjoramvalve.links import Listener
+from marjoramvalve.mesh.egress import Egress, Gate, Limiter
+from marjoramvalve.mesh.frames import Hello
+from marjoramvalve.mesh.ingress import Ingress
+from marjoramvalve.mesh.routes import RouteTable
+from marjoramvalve.mesh.sessions import IngressServer
+from marjoramvalve.mesh.timers import Deadlines
+from marjoramvalve.model import Document
+
+STOP_STEP_S = 0.05  # How often a stopping node looks whether it is done.
+
+log = structlog.get_logger("node")
+
+
+@dataclass(frozen=True, slots=True)
+class MeshOptions:
+    """What a node is built from. `stop_s` is the longest time a planned stop may take.
+
+    For the first `listen_on_s` of it, callers are served as before: they need time to notice.
+    """
+
+    name: str
+    domain: str
+    service: str
+    callers_address: str
+    link_address: str
+    upstream_address: str
+    stop_s: float = 5.0
+    listen_on_s: float = 3.0
+    names: HeaderNames = field(default_factory=HeaderNames)
+
+
+class MeshNode:
+    """One instance's part in the way of calls."""
+
+    def __init__(
+        self, options: MeshOptions, limiter: Limiter, gate: Gate, rng: random.Random
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        self.options = options
+        self.incarnation = rng.getrandbits(62) | 1
+        deadlines = Deadlines(loop)
+        self.ingress = Ingress(options.names, deadlines)
+        self.ingress.pool.set_address(options.upstream_address)
+        hello = Hello(self.incarnation, options.name, options.domain)
+        self.egress = Egress(
+            options.names, options.service, hello, self.ingress, limiter, gate, deadlines, rng
+        )
+        self.sessions = IngressServer(self.ingress, self.incarnation)
+        self.ingress.on_change = self.sessions.tell
+        self.callers = CallerServer(options.names, self.egress.handle, self._on_unread)
+        self._listener = Listener(self.sessions)
+        self.stopping = False
+
+    def _on_unread(self, status: int, detail: bytes) -> None:
+        log.info("request.unread", status=status, detail=detail)
+
+    async def start(self) -> None:
+        """Listens for callers and for links. Raises OSError."""
+        await self._listener.start(self.options.link_address)
+        await self.callers.start(self.options.callers_address)
+
+    def apply_config(self, version: int, document: Document) -> None:
+        """Puts a version of the configuration in force."""
+        self.egress.table = RouteTable(version, document)
+        self.callers.limits = document.callers
+        service = document.services.get(self.options.service)
+        if service is not None:
+            self.ingress.pool.most = service.connections
+        log.info("config.applied", version=version, routes=len(document.routes))
+
+    def set_peers(self, wanted: dict[str, tuple[str, str, bool]]) -> None:
+        """Keeps links to these ingress nodes: service, address and nearness by name."""
+        self.egress.set_peers(wanted)
+
+    async def drain(self, clock: Callable[[], float]) -> None:
+        """Ends in a planned way: gives the upstream's work to others, finishes what runs."""
+        self.stopping = True
+        began = clock()
+        self.ingress.stop_taking()
+        while clock() < began + self.options.stop_s:
+            await asyncio.sleep(STOP_STEP_S)
+            if clock() < began + self.options.listen_on_s:
+                continue
+            self.callers.stop_listening()
+            self.callers.close_soon()
+            if not self.egress.under_way and not self.ingress.running:
+                break
+        log.info(
+            "node.drained",
+            after_s=round(clock() - began, 2),
+            calls=self.egress.under_way,
+            running=len(self.ingress.running),
+        )
+
+    async def close(self) -> None:
+        """Ends every connection."""
+        await self.callers.close()
+        self.egress.close()
+        await self._listener.close()
+        self.sessions.close()
+        self.ingress.pool.close()
+        await asyncio.sleep(0)
--- /dev/null
+++ b/src/marjoramvalve/mesh/places.py
@@ -0,0 +1,84 @@
+"""Choice of the ingress for a call: near and fast ones first, others by need.
+
+Answers uneven load: failure domains with too few upstreams for their callers, upstreams of
+different speed, and upstreams that turn slow or fail.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+FAR_SHARE = 0.12  # Cost of another failure domain, as a part of the service time...
+FAR_S = 0.004  # ...and for the way there and back, and the bytes between domains.
+SMOOTHING = 0.1  # Weight of a new answer in speed and failure rate.
+FAILURE_WEIGHT = 6.0  # An upstream that always fails costs as much as one seven times as slow.
+COLD_WEIGHT = 2.0  # Slowness taken for an upstream that has just started.
+LOAD_POWER = 6  # How sharply cost grows as the slots fill up.
+MEMORY_S = 3.0  # Speed and failures of an upstream that is avoided are forgotten in this time.
+LEAST_PART, MOST_PART = 0.2, 10.0  # One answer counts as this much faster or slower at most.
+
+
+@dataclass(slots=True)
+class Place:
+    """One ingress as an egress sees it."""
+
+    near: bool
+    limit: int = 1
+    cold: bool = False
+    reported: int = 0
+    own: int = 0
+    own_at_report: int = 0
+    slowness: float = 1.0
+    failures: float = 0.0
+    noted_at: float = 0.0
+
+    def report(self, running: int, waiting: int) -> None:
+        """Takes in the load that came with an answer."""
+        self.reported = running + waiting
+        self.own_at_report = self.own
+
+    def note(self, part_of_mean: float, failed: bool, now: float) -> None:
+        """Takes in the service time of an answer, as a part of the mean of its route."""
+        part = min(MOST_PART, max(LEAST_PART, part_of_mean))
+        self.slowness += SMOOTHING * (part - self.slowness)
+        self.failures += SMOOTHING * ((1.0 if failed else 0.0) - self.failures)
+        self.noted_at = now
+
+    def cost_s(self, service_s: float, now: float) -> float:
+        """Returns the expected time of a call here, with what it costs others."""
+        age = min(1.0, max(0.0, now - self.noted_at) / MEMORY_S)
+        slowness = self.slowness + (1.0 - self.slowness) * age
+        failures = self.failures * (1.0 - age)
+        if self.cold:
+            slowness = max(slowness, COLD_WEIGHT)
+        others = max(0, self.reported - self.own_at_report)
+        use = (others + self.own + 1) / max(1, self.limit)
+        crowd = 1.0 + use**LOAD_POWER if use < 1 else 2.0 * use
+        cost = service_s * slowness * crowd * (1.0 + FAILURE_WEIGHT * failures)
+        return cost if self.near else cost * (1.0 + FAR_SHARE) + FAR_S
+
+
+class RouteMeans:
+    """Mean service time of each route over all its upstreams, in seconds."""
+
+    def __init__(self) -> None:
+        self._means: dict[str, float] = {}
+
+    def note(self, route: str, service_s: float) -> float:
+        """Takes in a service time; returns it as a part of the mean so far."""
+        mean = self._means.get(route, service_s) or 0.001
+        self._means[route] = mean + SMOOTHING / 2 * (service_s - mean)
+        return service_s / mean
+
+    def of(self, route: str) -> float:
+        """Returns the mean of a route."""
+        return self._means.get(route, 0.05)
+
+
+def choose(places: Iterable[tuple[object, Place]], service_s: float, now: float) -> object | None:
+    """Returns the item with the cheapest place, or None where there is none."""
+    best, best_cost = None, float("inf")
+    for item, place in places:
+        cost = place.cost_s(service_s, now)
+        if cost < best_cost:
+            best, best_cost = item, cost
+    return best
--- a/src/marjoramvalve/model/__init__.py
+++ b/src/marjoramvalve/model/__init__.py
@@ -2,11 +2,13 @@
 
 from marjoramvalve.model.documents import (
     PRIORITIES,
+    CallerLimits,
     Customer,
     Document,
     Key,
     Policy,
     Route,
+    Service,
     decode_document,
     document_digest,
     encode_document,
@@ -17,12 +19,14 @@
 
 __all__ = [
     "PRIORITIES",
+    "CallerLimits",
     "Customer",
     "Document",
     "Key",
     "PatchKind",
     "Policy",
     "Route",
+    "Service",
     "apply_patch",
     "decode_document",
     "document_digest",
--- a/src/marjoramvalve/model/documents.py
+++ b/src/marjoramvalve/model/documents.py
@@ -10,21 +10,31 @@
 from marjoramvalve.outcomes import Err, Fault, Ok, Result
 
 PRIORITIES = ("low", "normal", "high")
-NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
+NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,127}")
 DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}")
 KEY_DIGEST_PERSON = b"marjoramvalvekey"
 MAX_RATE = 1e7
 MAX_DEADLINE_MS = 600_000
 MAX_RETRIES = 5
+MAX_ATTEMPTS = 20
+MAX_RANK = 1000
+MAX_WEIGHT = 1e9
+MAX_OBJECTIVE_OVER_MS = 60_000
 
 
 class Customer(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A customer: rate in calls a second, burst in calls, weight in fair sharing."""
+    """A customer: rate in calls a second, burst in calls, weight in fair sharing.
+
+    `rank`, where it is given, goes before the rank of the route that is called. `limited` is
+    false for a customer without a rate.
+    """
 
     rate: float
     burst: float
     weight: float = 1.0
     max_priority: str = "high"
+    rank: int | None = None
+    limited: bool = True
 
 
 class Key(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -35,7 +45,12 @@
 
 
 class Route(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A route: path prefix and methods to a service, with its call policy."""
+    """A route: host, path prefix and methods to a service, with its call policy.
+
+    An empty host stands for every host. `split` shares the calls between services by weight and
+    goes before `service`. A call counts as timely within `objective_ms`, is answered at the
+    latest after `deadline_ms`, and runs at up to `attempts` upstreams. Rank 0 goes first.
+    """
 
     service: str
     path: str
@@ -44,6 +59,27 @@
     repeatable: bool = True
     open: bool = False
     deadline_ms: int = 5000
+    host: str = ""
+    split: dict[str, float] = {}
+    objective_ms: int = 1000
+    attempts: int = 2
+    rank: int = 1
+
+
+class Service(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A service: most connections to one of its upstreams, and the path of its health check."""
+
+    connections: int = 256
+    health_path: str = "/"
+
+
+class CallerLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What callers may send, in bytes, and how long they may take or stay idle."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 16_777_216
+    header_ms: int = 10_000
+    idle_ms: int = 75_000
 
 
 class Policy(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -62,8 +98,12 @@
     keys: dict[str, Key] = {}
     routes: dict[str, Route] = {}
     policy: Policy = Policy()
+    services: dict[str, Service] = {}
+    callers: CallerLimits = CallerLimits()
 
 
+MAPS = {"customers": Customer, "keys": Key, "routes": Route, "services": Service}
+SINGLES = {"policy": Policy, "callers": CallerLimits}
 _ENCODER = msgspec.json.Encoder(order="sorted")
 
 
@@ -105,13 +145,14 @@
         return Document(), [Fault("model.E001", "/", repr(tree), "document is not an object")]
     faults = []
     parts: dict[str, Any] = {}
-    for section, kind in (("customers", Customer), ("keys", Key), ("routes", Route)):
+    for section, kind in MAPS.items():
         parts[section] = {}
         faults += _section_faults(section, tree.get(section, {}), kind, parts[section])
-    holder: dict[str, Policy] = {}
-    faults += _section_faults("", {"policy": tree.get("policy", {})}, Policy, holder)
+    holder: dict[str, Any] = {}
+    for section, kind in SINGLES.items():
+        faults += _section_faults("", {section: tree.get(section, {})}, kind, holder)
     parts.update(holder)
-    for name in tree.keys() - {"customers", "keys", "routes", "policy"}:
+    for name in tree.keys() - MAPS.keys() - SINGLES.keys():
         faults.append(Fault("model.E003", f"/{name}", name, "section does not exist"))
     return Document(**parts), faults
 
@@ -149,7 +190,17 @@
         faults.append(Fault("model.E006", f"{path}/priority", item.priority, message))
     if not item.path.startswith("/") or "?" in item.path or "//" in item.path:
         faults.append(Fault("model.E007", f"{path}/path", item.path, "path is not a plain path"))
-    faults += _name_faults(f"routes/{name}/service", [item.service])
+    faults += _name_faults(f"routes/{name}/service", item.split or [item.service])
+    for service, weight in item.split.items():
+        faults += _number_fault(f"{path}/split/{service}", weight, 0, MAX_WEIGHT)
+    if item.split and not any(item.split.values()):
+        faults.append(Fault("model.E012", f"{path}/split", str(item.split), "no weight is above 0"))
+    faults += _number_fault(f"{path}/objective_ms", item.objective_ms, 1, MAX_DEADLINE_MS)
+    if item.objective_ms >= item.deadline_ms + MAX_OBJECTIVE_OVER_MS:
+        message = f"objective is {MAX_OBJECTIVE_OVER_MS} ms or more above the deadline"
+        faults.append(Fault("model.E013", f"{path}/objective_ms", str(item.objective_ms), message))
+    faults += _number_fault(f"{path}/attempts", item.attempts, 1, MAX_ATTEMPTS)
+    faults += _number_fault(f"{path}/rank", item.rank, 0, MAX_RANK)
     for method in item.methods:
         if not method.isalpha() or not method.isupper():
             faults.append(Fault("model.E008", f"{path}/methods", method, "method is not valid"))
@@ -157,17 +208,30 @@
 
 
 def _clash_faults(routes: dict[str, Route]) -> list[Fault]:
-    seen: dict[tuple[str, str], str] = {}
+    seen: dict[tuple[str, str, str], str] = {}
     faults = []
     for name, item in routes.items():
         for method in item.methods or ("*",):
-            other = seen.setdefault((item.path, method), name)
+            other = seen.setdefault((item.host, item.path, method), name)
             if other != name:
-                message = f"route has the path and method of route {other!r}"
+                message = f"route has the host, path and method of route {other!r}"
                 faults.append(Fault("model.E009", f"/routes/{name}", item.path, message))
     return faults
 
 
+def _service_faults(doc: Document) -> list[Fault]:
+    """Checks that routes go to services of the document, where it names any."""
+    if not doc.services:
+        return []
+    faults = []
+    for name, route in doc.routes.items():
+        for service in route.split or (route.service,):
+            if service not in doc.services:
+                message = f"service {service!r} does not exist"
+                faults.append(Fault("model.E014", f"/routes/{name}", service, message))
+    return faults
+
+
 def _policy_faults(policy: Policy) -> list[Fault]:
     faults = _number_fault("/policy/chain_retries", policy.chain_retries, 0, MAX_RETRIES)
     faults += _number_fault("/policy/retry_ratio", policy.retry_ratio, 0, 1)
@@ -190,7 +254,7 @@
             faults.append(Fault("model.E011", f"/keys/{digest[:8]}", key.customer, message))
     for name, route in doc.routes.items():
         faults += _route_faults(name, route)
-    faults += _clash_faults(doc.routes)
+    faults += _clash_faults(doc.routes) + _service_faults(doc)
     faults += _policy_faults(doc.policy)
     if faults:
         return Err(tuple(faults))
--- a/src/marjoramvalve/telemetry/__init__.py
+++ b/src/marjoramvalve/telemetry/__init__.py
@@ -1,7 +1,23 @@
-"""Logs, metrics and traces. None of it blocks a call."""
+"""Logs, metrics and traces. None of it blocks a call.
 
-from marjoramvalve.telemetry.logs import set_up_logs
-from marjoramvalve.telemetry.metrics import Counters, set_up_metrics
-from marjoramvalve.telemetry.traces import Tracing, set_up_traces
+Metrics and traces are imported on first use, with the library behind them.
+"""
 
-__all__ = ["Counters", "Tracing", "set_up_logs", "set_up_metrics", "set_up_traces"]
+from importlib import import_module
+
+from marjoramvalve.telemetry.logs import BoundedWriter, set_up_bounded_logs, set_up_logs
+
+_HOMES = {
+    "Counters": "metrics",
+    "set_up_metrics": "metrics",
+    "Tracing": "traces",
+    "set_up_traces": "traces",
+}
+
+__all__ = [*_HOMES, "BoundedWriter", "set_up_bounded_logs", "set_up_logs"]
+
+
+def __getattr__(name: str):
+    if name in _HOMES:
+        return getattr(import_module(f"{__name__}.{_HOMES[name]}"), name)
+    raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
