Admit outside calls by what they cause further down; know nodes by address

Change: a plan at the leader learns slots x seconds per root route and service and caps what each node lets in by rank; waits end when they stop being useful; sub-calls are known by their parent's id; shed limits are regained; roster by address; documents compressed and pushed nearby only; nodes serve on while callers are taken away; the upstream is asked who it is at start.

--- a/src/marjoramvalve/fleet/__init__.py
+++ b/src/marjoramvalve/fleet/__init__.py
@@ -2,16 +2,17 @@
 
 from marjoramvalve.fleet.controllers import Controller, ControllerOptions
 from marjoramvalve.fleet.members import Member, MemberOptions
-from marjoramvalve.fleet.messages import UpstreamReport
-from marjoramvalve.fleet.states import Publish, Verdict, VerdictKind
+from marjoramvalve.fleet.messages import NodeLoad
+from marjoramvalve.fleet.states import Publish, Verdict, VerdictKind, pack
 
 __all__ = [
     "Controller",
     "ControllerOptions",
     "Member",
     "MemberOptions",
+    "NodeLoad",
     "Publish",
-    "UpstreamReport",
     "Verdict",
     "VerdictKind",
+    "pack",
 ]
--- a/src/marjoramvalve/fleet/controllers.py
+++ b/src/marjoramvalve/fleet/controllers.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
@@ -27,7 +26,8 @@
     decode,
     encode,
 )
-from marjoramvalve.fleet.rosters import RosterBook
+from marjoramvalve.fleet.plans import LoadPlan
+from marjoramvalve.fleet.rosters import GONE_AFTER_S, RosterBook
 from marjoramvalve.fleet.states import Publish, Verdict, VerdictKind
 from marjoramvalve.fleet.tokens import TokenDesk
 from marjoramvalve.links import FrameStream, Listener
@@ -39,7 +39,6 @@
 SPARE_AFTER_S = 5.0  # A silent voter is replaced by a spare after this.
 MOST_VOTERS = 7
 PUBLISH_S = 3.0  # Longest wait for the outcome of a publication.
-PACK_LEVEL = 6
 
 log = structlog.get_logger("controller")
 
@@ -49,6 +48,7 @@
     """What a controller is built from. Addresses are for links but for `control`."""
 
     name: str
+    domain: str
     address: str
     control: str
     folder: Path
@@ -76,15 +76,17 @@
         self._listener = Listener(self)
         self._dialers: dict[str, Dialer] = {}
         self._peers: dict[str, _Peer] = {}
-        self._nodes: dict[FrameStream, str] = {}
+        self._nodes: dict[FrameStream, Report] = {}
         self._roster = RosterBook()
         self._changed: set[str] = set()
         self._gone: set[str] = set()
         self._desk = TokenDesk()
+        self._plan = LoadPlan()
         self._pushed = 0
         self._packed: bytes = b""
         self._task: asyncio.Task | None = None
         self._led = False
+        self._knows_all = False
         self._seeds = options.seeds
 
     async def start(self) -> None:
@@ -93,7 +95,9 @@
         await self.group.start()
         self.set_seeds(self.options.seeds)
         self._task = asyncio.create_task(self._run())
-        log.info("controller.start", name=self.group.identity.name, version=self.group.state.version)
+        log.info(
+            "controller.start", name=self.group.identity.name, version=self.group.state.version
+        )
 
     async def close(self) -> None:
         """Stops."""
@@ -144,9 +148,9 @@
 
     def stream_closed(self, stream: FrameStream) -> None:
         """Forgets the stream; a node's entry lives on for a while."""
-        name = self._nodes.pop(stream, None)
-        if name is not None:
-            log.info("node.link_lost", node=name)
+        report = self._nodes.pop(stream, None)
+        if report is not None:
+            log.info("node.link_lost", node=report.name)
 
     def stream_frame(self, stream: FrameStream, kind: int, payload: bytes) -> None:
         """Takes a frame."""
@@ -167,23 +171,26 @@
     def _on_report(self, stream: FrameStream, report: Report) -> None:
         now = self._clock()
         is_new = stream not in self._nodes
-        self._nodes[stream] = report.name
+        self._nodes[stream] = report
         if report.leaving:
-            if self._roster.drop(report.name):
-                self._gone.add(report.name)
+            if self._roster.drop(report):
+                self._gone.add(report.address)
         elif self._roster.note(report, now):
-            self._changed.add(report.name)
-            self._gone.discard(report.name)
+            self._changed.add(report.address)
+            self._gone.discard(report.address)
         leads = self.group.leads()
+        if report.load is not None:
+            self._plan.note(report.address, report.service, report.load, now)
         state = self.group.state
         members = self.group.replica.members
         addresses = (*members.voters.values(), *members.learners.values())
-        status = Status(report.stamp, leads, state.version, addresses, self._roster.pressure(now))
+        caps = self._plan.caps(report.address, now) if leads else {}
+        status = Status(report.stamp, leads, state.version, addresses, caps)
         if report.version < state.version:
             stream.send(Kind.CONFIG, self._config())
         stream.send(Kind.STATUS, encode(status))
         if is_new:
-            stream.send(Kind.ROSTER, encode(Roster(True, self._roster.entries())))
+            stream.send(Kind.ROSTER, encode(Roster(self._knows_all, self._roster.entries())))
 
     def _on_ask(self, stream: FrameStream, nonce: int, wants: dict[str, float]) -> None:
         if self.group.leads():
@@ -196,21 +203,43 @@
         state = self.group.state
         if self._pushed != state.version or not self._packed:
             self._pushed = state.version
-            packed = zlib.compress(state.document, PACK_LEVEL)
+            packed = state.document
             self._packed = encode(Config(state.version, packed))
         return self._packed
 
     def _on_change(self) -> None:
         leads = self.group.leads()
-        self._desk.set_document(self.group.state.decoded(), leads, self._clock())
-        if self.group.state.version > self._pushed:
-            log.info("config.committed", version=self.group.state.version, leads=leads)
-            payload = self._config()
-            for stream in self._nodes:
+        state = self.group.state
+        if leads or self._led:
+            document = state.decoded()
+            self._desk.set_document(document, leads, self._clock())
+            self._plan.set_document(document)
+        if state.version > self._pushed:
+            log.info("config.committed", version=state.version, leads=leads)
+            self._push_config()
+
+    def _push_config(self) -> None:
+        """Sends a version to the nodes nearby; the others have a controller of their own nearby.
+
+        Where they have none, they get it with the answer to their next report.
+        """
+        payload = self._config()
+        for stream, report in self._nodes.items():
+            if report.domain == self.options.domain:
                 stream.send(Kind.CONFIG, payload)
 
+    def _check_roster(self, now: float, began: float) -> None:
+        """Says what the whole roster is, once every node has had the time to report."""
+        if self._knows_all or now < began + GONE_AFTER_S:
+            return
+        self._knows_all = True
+        payload = encode(Roster(True, self._roster.entries()))
+        for stream in self._nodes:
+            stream.send(Kind.ROSTER, payload)
+
     async def _run(self) -> None:
         said_at = 0.0
+        began = self._clock()
         while True:
             await asyncio.sleep(TICK_S)
             now = self._clock()
@@ -225,6 +254,7 @@
                 self._on_change()
             self._gone.update(self._roster.expire(now))
             self._tell_roster()
+            self._check_roster(now, began)
             if leads:
                 self._care_for_group(now)
             self._forget_links()
@@ -232,7 +262,7 @@
     def _tell_roster(self) -> None:
         if not self._changed and not self._gone:
             return
-        entries = [self._roster.get(name) for name in self._changed]
+        entries = [self._roster.get(address) for address in self._changed]
         found = tuple(item for item in entries if item is not None)
         payload = encode(Roster(False, found, tuple(self._gone)))
         self._changed.clear()
--- a/src/marjoramvalve/fleet/groups.py
+++ b/src/marjoramvalve/fleet/groups.py
@@ -21,9 +21,9 @@
     Send,
     Timing,
 )
-from marjoramvalve.fleet.stores import load_replica, store_effect
 from marjoramvalve.fleet.identities import Identity
 from marjoramvalve.fleet.states import FleetState, Verdict
+from marjoramvalve.fleet.stores import load_replica, store_effect
 from marjoramvalve.storage import DataFolder, open_folder
 from marjoramvalve.wire.messages import Members, Message
 
--- a/src/marjoramvalve/fleet/members.py
+++ b/src/marjoramvalve/fleet/members.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import hashlib
-import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -14,6 +13,7 @@
     Config,
     Grant,
     Kind,
+    NodeLoad,
     Report,
     Roster,
     RosterEntry,
@@ -21,11 +21,12 @@
     decode,
     encode,
 )
+from marjoramvalve.fleet.states import unpack_document
 from marjoramvalve.fleet.tokens import TokenLots
-from marjoramvalve.model import Document, decode_document
+from marjoramvalve.model import Document
 
-REPORT_S = 0.5  # To the leader: many times within the time a configuration stays confirmed.
-REST_EVERY = 3  # Other controllers get every third report.
+REPORT_S = 0.3  # To the leader: many times within the time a configuration stays confirmed.
+REST_EVERY = 5  # Other controllers get every fifth report.
 TICK_S = 0.1
 LEASE_MARGIN = 0.1  # Part of the lease kept back for clocks that differ in rate and for the way.
 FAR_LINKS = 3  # Links to each service in each other failure domain.
@@ -36,7 +37,11 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberOptions:
-    """What a member is built from. `lease_s` is how long a confirmed configuration counts."""
+    """What a member is built from. `lease_s` is how long a confirmed configuration counts.
+
+    `incarnation` grows with each start, as far as clocks allow: of two nodes that claim one
+    address, the one with the higher incarnation is believed.
+    """
 
     name: str
     domain: str
@@ -74,8 +79,8 @@
         self._seeds = options.seeds
         self._was_confirmed = False
         self.leaving = False
-        self.pressure: Callable[[], float] = lambda: 0.0
-        self.on_pressure: Callable[[dict[str, float]], None] = lambda levels: None
+        self.load: Callable[[], NodeLoad | None] = lambda: None
+        self.on_caps: Callable[[dict[str, float]], None] = lambda caps: None
 
     async def start(self) -> None:
         """Looks for the controllers."""
@@ -126,7 +131,7 @@
             self.version,
             self._clock(),
             self.leaving,
-            round(self.pressure(), 2),
+            self.load() if dialer is self._leader and not self.leaving else None,
         )
         dialer.send(Kind.REPORT, encode(report))
 
@@ -167,7 +172,7 @@
                 log.info("leader.found", address=dialer.address, version=status.version)
             self._leader = dialer
             self._led_at = self._clock()
-            self.on_pressure(status.pressure)
+            self.on_caps(status.caps)
             if status.version == self.version:
                 self._confirmed_at = max(self._confirmed_at, status.stamp)
         for address in status.controllers:
@@ -183,7 +188,7 @@
     def _take_config(self, version: int, packed: bytes) -> None:
         if version <= self.version:
             return
-        document = decode_document(zlib.decompress(packed))
+        document = unpack_document(packed)
         self.version = version
         self.lots.set_document(document)
         self._on_config(version, document)
@@ -192,8 +197,8 @@
 
     def _on_roster(self, dialer: Dialer, roster: Roster) -> None:
         held = {} if roster.whole else self._rosters.get(dialer.address, {})
-        held = {name: entry for name, entry in held.items() if name not in roster.gone}
-        held.update({entry.name: entry for entry in roster.entries})
+        held = {address: entry for address, entry in held.items() if address not in roster.gone}
+        held.update({entry.address: entry for entry in roster.entries})
         self._rosters[dialer.address] = held
         self._choose_peers()
 
@@ -202,18 +207,22 @@
         open_ones = {a for a, dialer in self._dialers.items() if dialer.is_open}
         for address, held in self._rosters.items():
             if address in open_ones or not open_ones:
-                merged.update(held)
+                for place, entry in held.items():
+                    other = merged.get(place)
+                    if other is None or other.incarnation < entry.incarnation:
+                        merged[place] = entry
+        merged.pop(self.options.address, None)
         wanted = {}
         groups: dict[tuple[str, str], list[RosterEntry]] = {}
         for entry in merged.values():
             if entry.domain == self.options.domain:
-                wanted[entry.name] = (entry.service, entry.address, True)
+                wanted[entry.address] = (entry.name, entry.service, True)
             else:
                 groups.setdefault((entry.domain, entry.service), []).append(entry)
         for entries in groups.values():
             entries.sort(key=lambda entry: self._rank(entry.name))
             for entry in entries[:FAR_LINKS]:
-                wanted[entry.name] = (entry.service, entry.address, False)
+                wanted[entry.address] = (entry.name, entry.service, False)
         if wanted != self._wanted:
             self._wanted = wanted
             log.info("roster.applied", nodes=len(merged), links=len(wanted))
--- a/src/marjoramvalve/fleet/messages.py
+++ b/src/marjoramvalve/fleet/messages.py
@@ -30,19 +30,8 @@
     CONSENSUS = 39
 
 
-class UpstreamReport(msgspec.Struct, frozen=True, array_like=True):
-    """The upstream beside a node."""
-
-    instance: str
-    service: str
-    ready: bool
-
-
 class Report(msgspec.Struct, frozen=True, array_like=True):
-    """What a node says of itself. `stamp` is its own clock at the time of sending.
-
-    `pressure` is the share of its upstream's slots that the calls at hand would fill.
-    """
+    """What a node says of itself. `stamp` is its own clock at the time of sending."""
 
     name: str
     domain: str
@@ -52,21 +41,36 @@
     version: int
     stamp: float
     leaving: bool = False
-    pressure: float = 0.0
+    load: "NodeLoad | None" = None
+
+
+class NodeLoad(msgspec.Struct, frozen=True, array_like=True):
+    """Load of a node, told to the leader.
+
+    `offered` and `admitted` count outside calls a second by route. `busy` tells how many slots of
+    the upstream beside were taken on average by each root route; `slots` how many it has, and
+    `waiting` how many calls wait there.
+    """
+
+    offered: dict[str, float]
+    admitted: dict[str, float]
+    busy: dict[str, float]
+    slots: int
+    waiting: int
 
 
 class Status(msgspec.Struct, frozen=True, array_like=True):
     """Answer to a report. `version` is the newest one only where `leads` is true.
 
-    `controllers` names the addresses of the group's members. `pressure` tells how full each
-    service is.
+    `controllers` names the addresses of the group's members. `caps` limits the outside calls a
+    second that the node lets in, by route.
     """
 
     stamp: float
     leads: bool
     version: int
     controllers: tuple[str, ...]
-    pressure: dict[str, float] = {}
+    caps: dict[str, float] = {}
 
 
 class Config(msgspec.Struct, frozen=True, array_like=True):
@@ -87,7 +91,7 @@
 
 
 class Roster(msgspec.Struct, frozen=True, array_like=True):
-    """Changes of the roster, or all of it where `whole` is true."""
+    """Changes of the roster, or all of it where `whole` is true; `gone` holds addresses."""
 
     whole: bool
     entries: tuple[RosterEntry, ...]
--- a/src/marjoramvalve/fleet/states.py
+++ b/src/marjoramvalve/fleet/states.py
@@ -1,11 +1,14 @@
 """The replicated state: the published document with its version. Applying is deterministic."""
 
+import zlib
 from enum import StrEnum
 
 import msgspec
 
 from marjoramvalve.model import Document, decode_document
 
+PACK_LEVEL = 6  # zlib's own default: a tenth of the size at a millisecond for a large document.
+
 
 class VerdictKind(StrEnum):
     """Outcome of a publication."""
@@ -18,7 +21,7 @@
     """A whole document as the next version, built on version `base`.
 
     `publish_id` makes sending it again safe. `source` is the text that the author sent, which is
-    what readers get back; `document` is the canonical document made of it.
+    what readers get back; `document` is the canonical document made of it. Both are compressed.
     """
 
     publish_id: bytes
@@ -28,6 +31,16 @@
     source: bytes
 
 
+def pack(raw: bytes) -> bytes:
+    """Returns bytes compressed for the log and the links."""
+    return zlib.compress(raw, PACK_LEVEL)
+
+
+def unpack_document(packed: bytes) -> Document:
+    """Returns a document from its compressed canonical form."""
+    return decode_document(zlib.decompress(packed)) if packed else Document()
+
+
 class Verdict(msgspec.Struct, frozen=True):
     """Outcome of a publication, and the version in force after it."""
 
@@ -73,7 +86,11 @@
 
     def decoded(self) -> Document:
         """Returns the document in force."""
-        return decode_document(self.document) if self.document else Document()
+        return unpack_document(self.document)
+
+    def read_source(self) -> bytes:
+        """Returns the text of the version in force as its author sent it."""
+        return zlib.decompress(self.source) if self.source else b""
 
     def save(self) -> bytes:
         """Returns the whole state as bytes."""
--- a/src/marjoramvalve/fleet/tokens.py
+++ b/src/marjoramvalve/fleet/tokens.py
@@ -80,9 +80,7 @@
 class TokenLots:
     """The tokens of one node. `ask` sends what is wanted; False where there is no leader."""
 
-    def __init__(
-        self, clock: Callable[[], float], ask: Callable[[dict[str, float]], bool]
-    ) -> None:
+    def __init__(self, clock: Callable[[], float], ask: Callable[[dict[str, float]], bool]) -> None:
         self._clock = clock
         self._ask = ask
         self._lots: dict[str, _Lot] = {}
@@ -117,6 +115,12 @@
             return AWAY_S
         return None
 
+    def give_back(self, customer: str) -> None:
+        """Takes back the token of a call that has not run."""
+        lot = self._lots.get(customer)
+        if lot is not None:
+            lot.tokens = min(lot.tokens + 1.0, 2 * self._goal(lot))
+
     def wait(self, customer: str, resume: Callable[[float], None]) -> None:
         """Calls `resume` with 0 once there is a token, or with seconds to stay away."""
         self._lots[customer].waiting.append(resume)
--- a/src/marjoramvalve/h1/names.py
+++ b/src/marjoramvalve/h1/names.py
@@ -34,7 +34,6 @@
     not_run: str = "Marjoramvalve-Run"
     load: str = "Marjoramvalve-Load"
     instance: str = "Marjoramvalve-Instance"
-    stamp: str = "Marjoramvalve-Stamp"
 
     def lowered(self) -> dict[str, bytes]:
         """Returns every name in lower case, by field."""
--- a/src/marjoramvalve/h1/upstreams.py
+++ b/src/marjoramvalve/h1/upstreams.py
@@ -24,7 +24,8 @@
     head: bytes
     body: bytes
     not_run: bool
-    stamped: bool
+    load: bytes = b""
+    instance: bytes = b""
 
 
 class Exchange:
@@ -72,7 +73,8 @@
         self._size = 0
         self._attempt: bytes | None = None
         self._not_run = False
-        self._stamped = False
+        self._load = b""
+        self._instance = b""
         self._framed = False
         self._close = False
         self._keep_s = IDLE_S + IDLE_MARGIN_S
@@ -156,9 +158,10 @@
                 self._lines.append(b"%b: %b\r\n" % (name, value))
             case "not_run":
                 self._not_run = True
-            case "stamp":
-                self._stamped = True
-                self._lines.append(b"%b: %b\r\n" % (name, value))
+            case "load":
+                self._load = value
+            case "instance":
+                self._instance = value
             case "framing":
                 self._framed = True
             case "connection":
@@ -193,16 +196,19 @@
         """Ends an answer."""
         if self.exchange is None or self._parser.get_status_code() < 200:
             return
-        if self._attempt != self.exchange.attempt:
+        if self._attempt_of_answer() != self.exchange.attempt:
             self._pool.on_stray(self.exchange.attempt, self._attempt)
             if self._close:
                 self._break("answer belongs to another request, and the connection ends")
             return
         self._finish()
 
+    def _attempt_of_answer(self) -> bytes | None:
+        return self._attempt if self.exchange.attempt else b""
+
     def _finish(self) -> None:
         exchange = self.exchange
-        if self._attempt != exchange.attempt:
+        if self._attempt_of_answer() != exchange.attempt:
             self._break("answer belongs to another request")
             return
         self.exchange = None
@@ -212,7 +218,8 @@
             b"".join(self._lines),
             body,
             self._not_run,
-            self._stamped,
+            self._load,
+            self._instance,
         )
         # The rest of what has come is read first: extra bytes must not meet the next request.
         self._pool.loop.call_soon(self._pool.release, self, self._close, self._keep_s)
@@ -237,9 +244,10 @@
         self._all: set[UpstreamConnection] = set()
         self._connecting: set[asyncio.Task] = set()
         lowered = names.lowered()
-        self.read_headers = {lowered[field]: field for field in ("attempt", "not_run", "stamp")}
-        self.read_headers |= {lowered["load"]: "load", b"connection": "connection"}
-        self.read_headers |= {b"keep-alive": "keep-alive"}
+        self.read_headers = {
+            lowered[field]: field for field in ("attempt", "not_run", "load", "instance")
+        }
+        self.read_headers |= {b"connection": "connection", b"keep-alive": "keep-alive"}
         self.read_headers |= {b"content-length": "framing", b"transfer-encoding": "framing"}
 
     def set_address(self, address: str) -> None:
@@ -290,6 +298,22 @@
         else:
             conn.abort()
 
+    def probe(self, raw: bytes, on_done: Callable[[str, int], None]) -> None:
+        """Asks for the health of the upstream; passes on its instance and slots, where it is well.
+
+        The load header holds running and waiting requests and slots, with commas between.
+        """
+        exchange = Exchange(raw, b"", True, False, lambda answer: None, lambda detail, unread: None)
+
+        def on_answer(answer: UpstreamAnswer) -> None:
+            parts = answer.load.split(b",")
+            slots = int(parts[2]) if len(parts) == 3 and parts[2].strip().isdigit() else 0
+            on_done(answer.instance.decode("latin-1") if answer.status == 200 else "", slots)
+
+        exchange.on_answer = on_answer
+        exchange.on_broken = lambda detail, unread: on_done("", 0)
+        self.send(exchange)
+
     def cancel(self, exchange: Exchange) -> None:
         """Gives an exchange up; its connection is closed and nothing more is called."""
         exchange.on_answer = lambda answer: None
--- a/src/marjoramvalve/mesh/__init__.py
+++ b/src/marjoramvalve/mesh/__init__.py
@@ -1,8 +1,9 @@
 """The way of a call over two nodes: egress beside the caller, ingress beside the upstream."""
 
 from marjoramvalve.mesh.egress import Egress
+from marjoramvalve.mesh.gates import RootGate
 from marjoramvalve.mesh.ingress import Ingress, UpstreamState
 from marjoramvalve.mesh.nodes import MeshNode, MeshOptions
 from marjoramvalve.mesh.places import Place
 
-__all__ = ["Egress", "Ingress", "MeshNode", "MeshOptions", "Place", "UpstreamState"]
+__all__ = ["Egress", "Ingress", "MeshNode", "MeshOptions", "Place", "RootGate", "UpstreamState"]
--- a/src/marjoramvalve/mesh/budgets.py
+++ b/src/marjoramvalve/mesh/budgets.py
@@ -22,6 +22,10 @@
         """Notes a first send."""
         self._saved[service] = min(MOST, self._saved.get(service, START) + self.ratio)
 
+    def charge(self, service: str) -> None:
+        """Notes a send that a repeat further up has caused, and that can't be left out."""
+        self._saved[service] = max(-MOST, self._saved.get(service, START) - 1.0)
+
     def take(self, service: str) -> bool:
         """Takes a repeat, where there is one."""
         saved = self._saved.get(service, START)
--- a/src/marjoramvalve/mesh/calls.py
+++ b/src/marjoramvalve/mesh/calls.py
@@ -13,24 +13,27 @@
     """One request of a caller on its way. Times are of the loop's clock.
 
     `runs` counts the upstreams that may have run it, `tries` the ingress nodes that were asked.
+    `root` names the route of the outside call that caused this one; `is_repeat` tells that this
+    call, or one above it, has been sent before.
     """
 
     __slots__ = (
         "attempt",
         "body",
         "call_id",
-        "came_back",
         "customer",
         "deadline",
         "done",
         "head",
         "is_head",
+        "is_repeat",
         "is_sub_call",
         "maybe_ran",
         "peer",
         "rank",
         "repeatable",
         "request",
+        "root",
         "route_name",
         "runs",
         "sent_at",
@@ -55,6 +58,8 @@
         self.timely = 0.0
         self.rank = 0
         self.is_sub_call = False
+        self.is_repeat = False
+        self.root = target.raw_name
         self.customer = ""
         self.service = ""
         self.peer: Peer | None = None
@@ -63,5 +68,4 @@
         self.tries = 0
         self.runs = 0
         self.maybe_ran = False
-        self.came_back = False
         self.done = False
--- a/src/marjoramvalve/mesh/egress.py
+++ b/src/marjoramvalve/mesh/egress.py
@@ -26,6 +26,7 @@
 NO_UPSTREAM_AFTER_S = 0.3  # About the time in which another upstream is found.
 NO_CONFIG_AFTER_S = 0.5  # About the time of one round with the controllers.
 SERVER_ERROR = 500
+SYSTEMIC = 0.2  # Where more than this part of a route's calls fail, another upstream won't help.
 RUN_STATEMENTS = frozenset({408, 421, 429, 503})  # Statuses that say a request has not run.
 PROBLEM = b"Content-Type: application/problem+json\r\n"
 
@@ -41,13 +42,19 @@
     def wait(self, customer: str, resume: Callable[[float], None]) -> None:
         """Calls `resume` once, with what `admit` would return."""
 
+    def give_back(self, customer: str) -> None:
+        """Takes back what was taken for a call that has not run."""
+
 
 class Gate(Protocol):
     """Admission of root calls by what they cause further down."""
 
-    def admit(self, route: bytes, service: str, rank: int) -> float:
+    def admit(self, route: str) -> float:
         """Returns 0 where a root call is let in, or seconds to stay away."""
 
+    def give_back(self, route: str) -> None:
+        """Takes back what was taken for a call that goes no further."""
+
 
 class Egress:
     """Decisions on the calls of the callers of one instance."""
@@ -91,23 +98,44 @@
     # Peers
 
     def set_peers(self, wanted: dict[str, tuple[str, str, bool]]) -> None:
-        """Keeps links to the ingress nodes named: service, address and nearness by name."""
-        for name, peer in list(self._far.items()):
-            found = wanted.get(name)
-            if found is None or found[1] != peer.address:
-                del self._far[name]
+        """Keeps links to the ingress nodes at these addresses: name, service and nearness each."""
+        for address, peer in list(self._far.items()):
+            found = wanted.get(address)
+            peer.listed = found is not None
+            is_other = found is not None and found[:2] != (peer.name, peer.service)
+            if is_other or not (peer.listed or peer.usable):
+                del self._far[address]
                 self._retire(peer)
-        for name, (service, address, near) in wanted.items():
-            if name not in self._far and name != self._hello.name:
-                peer = self._retired.pop(address, None)
-                if peer is None:
-                    peer = FarPeer(name, service, address, near, self._hello, self)
-                    peer.start()
-                self._far[name] = peer
+        for address, (name, service, near) in wanted.items():
+            if address in self._far:
+                continue
+            peer = self._retired.get(address)
+            if peer is not None and (peer.name, peer.service) == (name, service):
+                del self._retired[address]
+            else:
+                if peer is not None:  # A session has one link at a time.
+                    del self._retired[address]
+                    peer.close()
+                peer = FarPeer(name, service, address, near, self._hello, self)
+                peer.start()
+            self._far[address] = peer
+        self._list_services()
+
+    def _list_services(self) -> None:
         self._by_service = {}
         for peer in (self._own, *self._far.values()):
             self._by_service.setdefault(peer.service, []).append(peer)
 
+    def peer_lost(self, peer: FarPeer) -> None:
+        """Lets go of a node whose link is lost and that is no longer named.
+
+        While the link stands, it is better proof of the node than a roster.
+        """
+        if not peer.listed and self._far.get(peer.address) is peer:
+            del self._far[peer.address]
+            self._retire(peer)
+            self._list_services()
+
     def _retire(self, peer: FarPeer) -> None:
         """Keeps the link to a node that is no longer named until its calls have ended."""
         if peer.calls:
@@ -144,6 +172,7 @@
                 log.info("call.moved", request=call.attempt, silent_peer=peer.name)
                 peer.cancel(call, False)
                 call.tried.add(peer)
+                call.is_repeat = True
                 self._dispatch(call)
 
     def _has_other(self, call: Call, peer: Peer) -> bool:
@@ -188,15 +217,16 @@
         """Finds out for whom a call is; False once it is refused."""
         request, target = call.request, call.target
         call.rank = 2 * target.rank + 1
-        if request.key is None and target.open:
-            return True
         if request.key is None:
             parent = self._parent(request)
-            if parent is None and not self._ingress.running:
+            if parent is not None:
+                call.is_sub_call = True
+                call.rank = parent.rank & ~1
+                call.root = parent.root
+                call.is_repeat = parent.is_repeat
+            elif not target.open:
                 self._refuse_request(request, Reason.NO_KEY, 401, 0.0)
                 return False
-            call.is_sub_call = True
-            call.rank = 2 * target.rank if parent is None else parent.rank & ~1
             return True
         customer = table.customer_of(request.key)
         if not self.is_confirmed():
@@ -218,35 +248,40 @@
         return self._ingress.running.get(request.attempt.rpartition(b".")[0])
 
     def _admit(self, call: Call) -> None:
+        """Asks the gate and then the rate: what the gate refuses takes nothing from the rate."""
         request = call.request
+        if not call.is_sub_call:
+            after_s = self._gate.admit(call.target.name)
+            if after_s > 0:
+                self._refuse_request(request, Reason.OVERLOAD, 503, after_s)
+                return
         if call.customer:
             after_s = self._limiter.admit(call.customer)
             if after_s is None:
-                self._limiter.wait(call.customer, lambda after: self._on_tokens(call, after))
                 request.on_gone = lambda: self._gone(call)
+                self._limiter.wait(call.customer, lambda after: self._on_tokens(call, after))
                 return
             if after_s > 0:
-                self._refuse_request(request, Reason.RATE, 429, after_s)
+                self._refuse_rate(call, after_s)
                 return
         self._start(call)
 
+    def _refuse_rate(self, call: Call, after_s: float) -> None:
+        call.done = True
+        self._gate.give_back(call.target.name)
+        self._refuse_request(call.request, Reason.RATE, 429, after_s)
+
     def _on_tokens(self, call: Call, after_s: float) -> None:
         if call.done:
-            return
-        if after_s > 0:
-            call.done = True
-            self._refuse_request(call.request, Reason.RATE, 429, after_s)
+            if after_s == 0:
+                self._limiter.give_back(call.customer)
+        elif after_s > 0:
+            self._refuse_rate(call, after_s)
         else:
             self._start(call)
 
     def _start(self, call: Call) -> None:
         call.service = call.target.next_service()
-        if not call.is_sub_call:
-            after_s = self._gate.admit(call.route_name, call.service, call.rank)
-            if after_s > 0:
-                call.done = True
-                self._refuse_request(call.request, Reason.OVERLOAD, 503, after_s)
-                return
         request = call.request
         customer = b""
         if call.customer:
@@ -263,7 +298,10 @@
         request.on_gone = lambda: self._gone(call)
         self.under_way += 1
         self._deadlines.add(call.deadline, lambda: self._expire(call))
-        self._budget.first(call.service)
+        if call.is_repeat:
+            self._budget.charge(call.service)
+        else:
+            self._budget.first(call.service)
         self._dispatch(call)
 
     # Sending
@@ -299,14 +337,17 @@
         else:
             peer.place.note(self._means.note(call.target.name, service_s), False, now)
         call.runs += 1
+        self._means.note_end(call.target.name, failed)
         if failed and self._may_repeat(call, peer):
             log.info("call.repeated", request=call.attempt, peer=peer.name, status=status)
             call.maybe_ran = True
+            call.is_repeat = True
             call.tried.add(peer)
             self._dispatch(call)
             return
         if status in RUN_STATEMENTS and not call.repeatable:
-            self._fail(call, Reason.UPSTREAM_FAILED, 502, f"upstream gave {status} and may have run")
+            detail = f"upstream gave {status} and may have run"
+            self._fail(call, Reason.UPSTREAM_FAILED, 502, detail)
             return
         self._end(call)
         if failed:
@@ -317,6 +358,7 @@
         return (
             call.repeatable
             and call.runs < call.target.attempts
+            and self._means.failures(call.target.name) < SYSTEMIC
             and self._loop.time() < call.timely
             and self._has_other(call, peer)
             and self._budget.take(call.service)
@@ -356,6 +398,7 @@
         peer.place.note(1.0, True, now)
         if self._may_repeat(call, peer):
             log.info("call.repeated", request=call.attempt, peer=peer.name, why=why.name)
+            call.is_repeat = True
             self._dispatch(call)
         else:
             self._fail(call, Reason.UPSTREAM_FAILED, 502, why.name)
@@ -394,6 +437,8 @@
             self._fail(call, Reason.UPSTREAM_FAILED, 502, detail)
             return
         self._end(call)
+        if call.customer and not call.maybe_ran:
+            self._limiter.give_back(call.customer)
         self._log_end("call.refused", call, reason, detail)
         self._respond(call.request, reason, 503, after_s, "not-run")
 
--- a/src/marjoramvalve/mesh/gates.py
+++ b/src/marjoramvalve/mesh/gates.py
@@ -1,19 +1,70 @@
-"""Admission of root calls by what they cause further down."""
+"""Admission of outside calls by what they cause further down.
 
+Answers overload of a service deep in the call graph: a call that would be refused there after
+others have worked for it is refused here instead, before anything has been spent on it.
+"""
+
+import random
 from collections.abc import Callable
+from dataclasses import dataclass
+
+CAPS_LIFE_S = 2.5  # Caps that nobody has renewed for this long no longer bind.
+BURST_S = 1.0  # Calls that may come at once, as time at the capped rate.
+LEAST_BURST = 2.0
+AWAY_S, AWAY_SPREAD_S = 0.4, 0.8  # Refused callers come back over a time like an ordinary call's.
+
+
+@dataclass(slots=True)
+class _Flow:
+    offered: int = 0
+    admitted: int = 0
+    tokens: float = LEAST_BURST
+    at: float = 0.0
 
 
 class RootGate:
-    """Lets root calls in while the services below have room."""
+    """Lets in as many outside calls of each route as the plan for the whole graph allows."""
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(self, clock: Callable[[], float], rng: random.Random) -> None:
         self._clock = clock
-        self._pressure: dict[str, float] = {}
+        self._rng = rng
+        self._caps: dict[str, float] = {}
+        self._caps_at = 0.0
+        self._flows: dict[str, _Flow] = {}
 
-    def set_pressure(self, levels: dict[str, float]) -> None:
-        """Takes in how full each service is."""
-        self._pressure = levels
+    def set_caps(self, caps: dict[str, float]) -> None:
+        """Takes in calls a second by route; a route that is not named is not limited."""
+        self._caps = caps
+        self._caps_at = self._clock()
 
-    def admit(self, route: bytes, service: str, rank: int) -> float:
-        """Returns 0 where a root call is let in, or seconds to stay away."""
+    def admit(self, route: str) -> float:
+        """Returns 0 where an outside call is let in, or seconds to stay away."""
+        flow = self._flows.get(route)
+        if flow is None:
+            flow = self._flows[route] = _Flow()
+        flow.offered += 1
+        cap = self._caps.get(route)
+        now = self._clock()
+        if cap is not None and now < self._caps_at + CAPS_LIFE_S:
+            most = max(LEAST_BURST, cap * BURST_S)
+            flow.tokens = min(most, flow.tokens + cap * (now - flow.at))
+            flow.at = now
+            if flow.tokens < 1.0:
+                return AWAY_S + AWAY_SPREAD_S * self._rng.random()
+            flow.tokens -= 1.0
+        flow.admitted += 1
         return 0.0
+
+    def give_back(self, route: str) -> None:
+        """Takes back what was taken for a call that goes no further."""
+        flow = self._flows[route]
+        flow.admitted -= 1
+        flow.offered -= 1
+        flow.tokens += 1.0
+
+    def take_counts(self) -> dict[str, tuple[int, int]]:
+        """Returns offered and admitted calls by route since the last time."""
+        counts = {name: (item.offered, item.admitted) for name, item in self._flows.items()}
+        for item in self._flows.values():
+            item.offered = item.admitted = 0
+        return counts
--- a/src/marjoramvalve/mesh/ingress.py
+++ b/src/marjoramvalve/mesh/ingress.py
@@ -12,7 +12,8 @@
 from marjoramvalve.mesh.waiting import ServiceTimes, WaitingRoom
 
 SHED_FACTOR = 0.95  # An upstream that sheds is given a twentieth less at once.
-REGAIN_PER_S = 1.0  # Slots a second by which the limit grows back towards the announced one.
+LEAST_LIMIT = 0.6  # Part of the announced slots under which shedding does not bring the limit.
+REGAIN_PER_S = 0.2  # Part of the announced slots by which the limit grows back in a second.
 RETRY_CONNECT_S = 0.25  # How often a connection to an upstream that takes none is tried again.
 LEAST_AFTER_S = 0.05  # Least time after which a refused call is told to come back.
 SPARE_S = 0.003  # Way back of an answer to the caller's node.
@@ -52,7 +53,11 @@
 
 
 class Job:
-    """A call at the ingress. Times are of the loop's clock."""
+    """A call at the ingress. Times are of the loop's clock.
+
+    `root` names the route of the outside call that caused this one. `is_repeat` tells that the
+    call, or one above it, has been sent before.
+    """
 
     __slots__ = (
         "attempt",
@@ -63,10 +68,12 @@
         "exchange",
         "head",
         "is_head",
+        "is_repeat",
         "is_sub_call",
         "port",
         "rank",
         "repeatable",
+        "root",
         "route",
         "started_at",
         "timely",
@@ -77,6 +84,7 @@
         port: Port,
         call_id: int,
         route: bytes,
+        root: bytes,
         attempt: bytes,
         head: bytes,
         body: bytes,
@@ -86,10 +94,13 @@
         repeatable: bool,
         is_head: bool,
         is_sub_call: bool,
+        is_repeat: bool,
     ) -> None:
         self.port = port
         self.call_id = call_id
         self.route = route
+        self.root = root
+        self.is_repeat = is_repeat
         self.attempt = attempt
         self.head = head
         self.body = body
@@ -107,7 +118,9 @@
 class Ingress:
     """Admission and sending for one upstream."""
 
-    def __init__(self, names: HeaderNames, deadlines: Deadlines) -> None:
+    def __init__(self, names: HeaderNames, service: str, deadlines: Deadlines) -> None:
+        self._service = service
+        self._is_probing = False
         self._loop = asyncio.get_running_loop()
         self._deadlines = deadlines
         self._deadline_name = names.deadline.encode()
@@ -121,6 +134,7 @@
         self._waiting = WaitingRoom()
         self.times = ServiceTimes()
         self.running: dict[bytes, Job] = {}
+        self.work: dict[bytes, float] = {}  # Slot-seconds by root route since they were taken.
         self._count = 0
         self.on_change = lambda: None
 
@@ -140,7 +154,8 @@
         now = self._loop.time()
         most = float(self.state.slots)
         if self._limit < most:
-            self._limit = min(most, self._limit + REGAIN_PER_S * (now - self._limit_at))
+            gained = most * REGAIN_PER_S * (now - self._limit_at)
+            self._limit = min(most, max(most * LEAST_LIMIT, self._limit) + gained)
         else:
             self._limit = most
         self._limit_at = now
@@ -174,6 +189,19 @@
             )
             self.on_change()
 
+    def probe(self, path: str) -> None:
+        """Asks an upstream that has not said anything yet who it is."""
+        if self.state.instance or self._is_probing:
+            return
+        self._is_probing = True
+        raw = b"GET %b HTTP/1.1\r\nHost: upstream\r\n\r\n" % path.encode()
+        self.pool.probe(raw, self._on_probed)
+
+    def _on_probed(self, instance: str, slots: int) -> None:
+        self._is_probing = False
+        if instance and slots and not self.state.instance:
+            self.set_state(UpstreamState(instance, self._service, slots, True))
+
     def stop_taking(self) -> None:
         """Refuses new calls from now on and gives back those that wait."""
         self.stopping = True
@@ -197,11 +225,13 @@
             return
         service_s = self.times.of(job.route)
         wait_s = self._waiting.wait_s(job.rank, self.limit)
-        if now + wait_s + service_s > max(job.timely, job.deadline if job.is_sub_call else 0.0):
+        # Others have worked for a sub-call already: it waits as long as it can still succeed.
+        useful_until = (job.deadline if job.is_sub_call else job.timely) - service_s
+        if now + wait_s > useful_until:
             self._refuse(job, Why.BUSY, max(LEAST_AFTER_S, wait_s))
             return
         self._waiting.put(job, job.rank, service_s)
-        self._deadlines.add(job.deadline, lambda: self._expire(job))
+        self._deadlines.add(useful_until, lambda: self._expire_waiting(job))
 
     def _run(self, job: Job, now: float) -> None:
         left_ms = int((job.deadline - now - SPARE_S) * 1000)
@@ -234,8 +264,15 @@
         self._deadlines.add(job.deadline + CUT_GRACE_S, lambda: self._expire(job))
         self.pool.send(job.exchange)
 
+    def take_work(self) -> dict[bytes, float]:
+        """Returns the slot-seconds spent on each root route since the last call."""
+        work, self.work = self.work, {}
+        return work
+
     def _release(self, job: Job) -> None:
         job.done = True
+        spent_s = self._loop.time() - job.started_at
+        self.work[job.root] = self.work.get(job.root, 0.0) + spent_s
         self._count -= 1
         if self.running.get(job.attempt) is job:
             del self.running[job.attempt]
@@ -256,7 +293,7 @@
             self.set_state(replace(self.state, ready=False))
             self._refuse_sent(job, Why.NOT_READY, LEAST_AFTER_S)
         elif answer.not_run:
-            self._limit = max(1.0, min(self._limit, self._count) * SHED_FACTOR)
+            self._limit = min(self._limit, self._count) * SHED_FACTOR
             log.info("upstream.shed", request=job.attempt, running=self._count, limit=self.limit)
             self._refuse_sent(job, Why.SHED, LEAST_AFTER_S + self.times.of(job.route))
         else:
@@ -289,13 +326,13 @@
         self.on_change()
         self._loop.call_later(RETRY_CONNECT_S, self.on_change)
 
+    def _expire_waiting(self, job: Job) -> None:
+        if not job.done and job.exchange is None and self._waiting.remove(job):
+            self._refuse(job, Why.TOO_LATE, max(LEAST_AFTER_S, self._waiting.wait_s(job.rank, 1)))
+
     def _expire(self, job: Job) -> None:
         if job.done:
             return
-        if job.exchange is None:
-            if self._waiting.remove(job):
-                self._refuse(job, Why.TOO_LATE, LEAST_AFTER_S)
-            return
         if self._loop.time() < job.deadline + CUT_GRACE_S - 0.001:
             return
         log.info("upstream.overdue", request=job.attempt, instance=self.state.instance)
--- a/src/marjoramvalve/mesh/nodes.py
+++ b/src/marjoramvalve/mesh/nodes.py
@@ -26,7 +26,8 @@
 class MeshOptions:
     """What a node is built from. `stop_s` is the longest time a planned stop may take.
 
-    For the first `listen_on_s` of it, callers are served as before: they need time to notice.
+    For the first `serve_on_s` of it everything goes on as before, since callers need time to
+    notice; then new work is refused.
     """
 
     name: str
@@ -36,7 +37,7 @@
     link_address: str
     upstream_address: str
     stop_s: float = 5.0
-    listen_on_s: float = 3.0
+    serve_on_s: float = 3.0
     names: HeaderNames = field(default_factory=HeaderNames)
 
 
@@ -50,13 +51,13 @@
         self.options = options
         self.incarnation = rng.getrandbits(62) | 1
         deadlines = Deadlines(loop)
-        self.ingress = Ingress(options.names, deadlines)
+        self.ingress = Ingress(options.names, options.service, deadlines)
         self.ingress.pool.set_address(options.upstream_address)
         hello = Hello(self.incarnation, options.name, options.domain)
         self.egress = Egress(
             options.names, options.service, hello, self.ingress, limiter, gate, deadlines, rng
         )
-        self.sessions = IngressServer(self.ingress, self.incarnation)
+        self.sessions = IngressServer(self.ingress, options.service, self.incarnation)
         self.ingress.on_change = self.sessions.tell
         self.callers = CallerServer(options.names, self.egress.handle, self._on_unread)
         self._listener = Listener(self.sessions)
@@ -77,6 +78,7 @@
         service = document.services.get(self.options.service)
         if service is not None:
             self.ingress.pool.most = service.connections
+            self.ingress.probe(service.health_path)
         log.info("config.applied", version=version, routes=len(document.routes))
 
     def set_peers(self, wanted: dict[str, tuple[str, str, bool]]) -> None:
@@ -84,18 +86,17 @@
         self.egress.set_peers(wanted)
 
     async def drain(self, clock: Callable[[], float]) -> None:
-        """Ends in a planned way: gives the upstream's work to others, finishes what runs."""
+        """Ends in a planned way: serves on for a while, then finishes what runs."""
         self.stopping = True
         began = clock()
+        await asyncio.sleep(self.options.serve_on_s)
         self.ingress.stop_taking()
+        self.callers.stop_listening()
         while clock() < began + self.options.stop_s:
-            await asyncio.sleep(STOP_STEP_S)
-            if clock() < began + self.options.listen_on_s:
-                continue
-            self.callers.stop_listening()
             self.callers.close_soon()
             if not self.egress.under_way and not self.ingress.running:
                 break
+            await asyncio.sleep(STOP_STEP_S)
         log.info(
             "node.drained",
             after_s=round(clock() - began, 2),
--- a/src/marjoramvalve/mesh/peers.py
+++ b/src/marjoramvalve/mesh/peers.py
@@ -14,6 +14,7 @@
     CANCEL,
     IDS,
     IS_HEAD,
+    IS_REPEAT,
     IS_SUB_CALL,
     REPEATABLE,
     REQUEST,
@@ -52,6 +53,9 @@
     def call_failed(self, peer: "Peer", call: "Call", why: Why) -> None:
         """The request may have run there."""
 
+    def peer_lost(self, peer: "FarPeer") -> None:
+        """The link to a node is lost."""
+
 
 class Peer:
     """An ingress where calls can be sent."""
@@ -106,6 +110,7 @@
             self,
             call.call_id,
             call.route_name,
+            call.root,
             call.attempt,
             call.head,
             call.body,
@@ -115,6 +120,7 @@
             call.repeatable,
             call.is_head,
             call.is_sub_call,
+            call.is_repeat,
         )
         self._jobs[call.call_id] = job
         self._ingress.submit(job)
@@ -170,11 +176,17 @@
         self._closed = False
         self._asked_at = 0.0
         self.quiet = False
+        self.listed = True
 
     @property
     def usable(self) -> bool:
         """Tells whether the link is up, speaks, and the upstream behind it takes calls."""
-        return self._stream is not None and self._welcome.ready and not self.quiet
+        return (
+            self._stream is not None
+            and self._welcome.ready
+            and not self.quiet
+            and self._welcome.service == self.service
+        )
 
     def start(self) -> None:
         """Makes the link."""
@@ -218,6 +230,8 @@
         self.place.own += 1
         flags = REPEATABLE if call.repeatable else 0
         flags |= (IS_HEAD if call.is_head else 0) | (IS_SUB_CALL if call.is_sub_call else 0)
+        flags |= IS_REPEAT if call.is_repeat else 0
+        root = b"" if call.root == call.route_name else call.root
         meta = REQUEST.pack(
             call.call_id,
             max(0, int((call.deadline - now) * 1000)),
@@ -225,10 +239,11 @@
             min(call.rank, 255),
             flags,
             len(call.route_name),
+            len(root),
             len(call.attempt),
             len(call.head),
         )
-        payload = b"".join((meta, call.route_name, call.attempt, call.head, call.body))
+        payload = b"".join((meta, call.route_name, root, call.attempt, call.head, call.body))
         self._stream.send(Kind.REQUEST, payload)
 
     def cancel(self, call: "Call", only_waiting: bool) -> None:
@@ -247,6 +262,7 @@
         if self._stream is stream:
             log.info("peer.lost", peer=self.name, calls=len(self.calls))
             self._stream = None
+            self._loop.call_soon(self._owner.peer_lost, self)
         if not self._closed and (self._task is None or self._task.done()):
             self._task = self._loop.create_task(self._connect())
 
@@ -264,7 +280,6 @@
         before, self._welcome = self._welcome, welcome
         self.place.limit = max(1, welcome.limit)
         self.place.cold = welcome.cold
-        self.service = welcome.service or self.service
         if self._stream is stream:
             return
         self._stream = stream
--- a/src/marjoramvalve/mesh/places.py
+++ b/src/marjoramvalve/mesh/places.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-FAR_SHARE = 0.12  # Cost of another failure domain, as a part of the service time...
+FAR_SHARE = 0.7  # Cost of another failure domain, as a part of the service time...
 FAR_S = 0.004  # ...and for the way there and back, and the bytes between domains.
 SMOOTHING = 0.1  # Weight of a new answer in speed and failure rate.
 FAILURE_WEIGHT = 6.0  # An upstream that always fails costs as much as one seven times as slow.
@@ -62,6 +62,16 @@
 
     def __init__(self) -> None:
         self._means: dict[str, float] = {}
+        self._failures: dict[str, float] = {}
+
+    def note_end(self, route: str, failed: bool) -> None:
+        """Takes in whether a call failed at its upstream."""
+        rate = self._failures.get(route, 0.0)
+        self._failures[route] = rate + SMOOTHING / 2 * ((1.0 if failed else 0.0) - rate)
+
+    def failures(self, route: str) -> float:
+        """Returns the part of the calls of a route that fail at their upstreams."""
+        return self._failures.get(route, 0.0)
 
     def note(self, route: str, service_s: float) -> float:
         """Takes in a service time; returns it as a part of the mean so far."""
--- a/src/marjoramvalve/mesh/sessions.py
+++ b/src/marjoramvalve/mesh/sessions.py
@@ -17,6 +17,7 @@
     CANCEL,
     IDS,
     IS_HEAD,
+    IS_REPEAT,
     IS_SUB_CALL,
     MAX_U16,
     REPEATABLE,
@@ -105,9 +106,10 @@
 class IngressServer:
     """Owner of the streams on which egress nodes send their calls."""
 
-    def __init__(self, ingress: Ingress, incarnation: int) -> None:
+    def __init__(self, ingress: Ingress, service: str, incarnation: int) -> None:
         self.loop = asyncio.get_running_loop()
         self.ingress = ingress
+        self._service = service
         self.incarnation = incarnation
         self._sessions: dict[int, Session] = {}
         self._sweeper = self.loop.call_later(SWEEP_S, self._sweep)
@@ -137,7 +139,7 @@
         ingress = self.ingress
         cold = ingress.state.cold_until > self.loop.time()
         return msgspec.msgpack.encode(
-            Welcome(self.incarnation, ingress.state.service, ingress.ready, ingress.limit, cold)
+            Welcome(self.incarnation, self._service, ingress.ready, ingress.limit, cold)
         )
 
     # Streams
@@ -183,12 +185,14 @@
         stream.send(Kind.WELCOME, self._welcome())
 
     def _request(self, session: Session, payload: bytes) -> None:
-        call_id, left, timely, rank, flags, route_n, attempt_n, head_n = REQUEST.unpack_from(
-            payload
+        call_id, left, timely, rank, flags, route_n, root_n, attempt_n, head_n = (
+            REQUEST.unpack_from(payload)
         )
         pos = REQUEST.size
         route = payload[pos : pos + route_n]
         pos += route_n
+        root = payload[pos : pos + root_n] or route
+        pos += root_n
         attempt = payload[pos : pos + attempt_n]
         pos += attempt_n
         now = self.loop.time()
@@ -196,6 +200,7 @@
             session,
             call_id,
             route,
+            root,
             attempt,
             payload[pos : pos + head_n],
             payload[pos + head_n :],
@@ -205,6 +210,7 @@
             bool(flags & REPEATABLE),
             bool(flags & IS_HEAD),
             bool(flags & IS_SUB_CALL),
+            bool(flags & IS_REPEAT),
         )
         session.jobs[call_id] = job
         self.ingress.submit(job)
--- /dev/null
+++ b/src/marjoramvalve/node/__init__.py
@@ -0,0 +1,5 @@
+"""What ties the way of calls and the control plane together in one process."""
+
+from marjoramvalve.node.meters import LoadMeter
+
+__all__ = ["LoadMeter"]
--- /dev/null
+++ b/src/marjoramvalve/node/meters.py
@@ -0,0 +1,46 @@
+"""Load of this node, for the plan of the whole fleet."""
+
+from collections.abc import Callable
+
+from marjoramvalve.fleet import NodeLoad
+from marjoramvalve.mesh import Ingress, RootGate
+
+SMOOTHING = 0.3  # Weight of the newest span in the rates; spans are those between two reports.
+FORGET_BELOW = 0.05  # Rates a second under this are left out.
+
+
+class LoadMeter:
+    """Rates of outside calls, and slots taken by them, since the last report."""
+
+    def __init__(self, ingress: Ingress, gate: RootGate, clock: Callable[[], float]) -> None:
+        self._ingress = ingress
+        self._gate = gate
+        self._clock = clock
+        self._at = clock()
+        self._offered: dict[str, float] = {}
+        self._admitted: dict[str, float] = {}
+        self._busy: dict[str, float] = {}
+
+    def take(self) -> NodeLoad:
+        """Returns the load since the last time, smoothed."""
+        now = self._clock()
+        span_s = max(0.05, now - self._at)
+        self._at = now
+        counts = self._gate.take_counts()
+        self._smooth(self._offered, {name: item[0] / span_s for name, item in counts.items()})
+        self._smooth(self._admitted, {name: item[1] / span_s for name, item in counts.items()})
+        work = self._ingress.take_work()
+        self._smooth(self._busy, {raw.decode(): part / span_s for raw, part in work.items()})
+        _, waiting = self._ingress.load
+        slots = self._ingress.limit if self._ingress.ready else 0
+        return NodeLoad(dict(self._offered), dict(self._admitted), dict(self._busy), slots, waiting)
+
+    @staticmethod
+    def _smooth(held: dict[str, float], new: dict[str, float]) -> None:
+        for name in held.keys() | new.keys():
+            before = held.get(name, 0.0)
+            value = round(before + SMOOTHING * (new.get(name, 0.0) - before), 3)
+            if value < FORGET_BELOW:
+                held.pop(name, None)
+            else:
+                held[name] = value
