--- a/Makefile
+++ b/Makefile
@@ -15,8 +15,8 @@
 	$(BIN)/nose2 -s tests -t .
 
 lint: install
-	$(BIN)/black --check --quiet src tests benches
-	$(BIN)/ruff check src tests benches
+	$(BIN)/black --check --quiet src tests benches platform
+	$(BIN)/ruff check src tests benches platform
 	$(BIN)/lint-imports
 
 demo: install
--- a/src/marjoramvalve/fleet/tokens.py
+++ b/src/marjoramvalve/fleet/tokens.py
@@ -66,6 +66,8 @@
 
 @dataclass(slots=True)
 class _Lot:
+    """Tokens of one customer. `rate` is that of its calls, `granted_rate` that of the grants."""
+
     tokens: float = 0.0
     asked_at: float = -1e9
     is_asked: bool = False
@@ -73,6 +75,8 @@
     calls: int = 0
     window_at: float = 0.0
     rate: float = 0.0
+    granted: float = 0.0
+    granted_rate: float = 0.0
     refilled_at: float = 0.0
     waiting: list[Callable[[float], None]] = field(default_factory=list)
 
@@ -133,7 +137,10 @@
         span = now - lot.window_at
         if span >= RATE_WINDOW_S:
             lot.rate += RATE_SMOOTHING * (lot.calls / span - lot.rate)
+            if now < self._heard_at + RATE_WINDOW_S:
+                lot.granted_rate += RATE_SMOOTHING * (lot.granted / span - lot.granted_rate)
             lot.calls = 0
+            lot.granted = 0.0
             lot.window_at = now
 
     def _order(self, customer: str, lot: _Lot, now: float) -> bool:
@@ -149,11 +156,11 @@
         return True
 
     def _fall_back(self, lot: _Lot, now: float) -> None:
-        """Goes on at the rate seen so far while a leader is being chosen."""
+        """Goes on at the rate granted so far while a leader is being chosen."""
         since = max(lot.refilled_at, self._heard_at + ANSWER_S)
         if now > self._heard_at + FALLBACK_S or now <= since:
             return
-        lot.tokens = min(self._goal(lot), lot.tokens + lot.rate * (now - since))
+        lot.tokens = min(self._goal(lot), lot.tokens + lot.granted_rate * (now - since))
         lot.refilled_at = now
 
     def on_grant(self, granted: dict[str, float], wait_s: dict[str, float]) -> None:
@@ -166,6 +173,7 @@
                 continue
             lot.is_asked = False
             lot.tokens += granted.get(customer, 0.0)
+            lot.granted += granted.get(customer, 0.0)
             after_s = wait_s.get(customer, 0.0)
             if after_s > 0:
                 lot.away_until = now + after_s
--- /dev/null
+++ b/tests/meshes.py
@@ -0,0 +1,215 @@
+"""Mesh nodes on loopback sockets, with upstreams and callers that speak raw bytes."""
+
+import asyncio
+import contextlib
+import random
+import socket
+import struct
+
+import uvloop
+
+from benches.fleets import free_address
+from marjoramvalve.links import split_address
+from marjoramvalve.mesh import MeshNode, MeshOptions, RootGate, UpstreamState
+from marjoramvalve.model import key_digest, validate_document
+from marjoramvalve.telemetry import set_up_logs
+
+KEY = b"secret"
+ATTEMPT = "Marjoramvalve-Request-Id"
+
+
+class OpenLimiter:
+    """Lets every customer's calls in."""
+
+    def admit(self, customer):
+        return 0.0
+
+    def wait(self, customer, resume):
+        raise AssertionError("nobody waits here")
+
+    def give_back(self, customer):
+        pass
+
+
+class Upstream:
+    """Answers each request by a coroutine function of the request's text and a writer."""
+
+    def __init__(self, play) -> None:
+        self.play = play
+        self.requests: list[str] = []
+        self.running = 0
+        self.most_running = 0
+        self.closed_early = 0
+        self.address = free_address()
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        host, port = split_address(self.address)
+        self._server = await asyncio.start_server(self._serve, host, port)
+
+    async def _serve(self, reader, writer) -> None:
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                size = int(field(head, "Content-Length") or 0)
+                body = (await reader.readexactly(size)).decode()
+                self.requests.append(head + body)
+                self.running += 1
+                self.most_running = max(self.most_running, self.running)
+                play = asyncio.ensure_future(self.play(head + body, writer))
+                gone = asyncio.ensure_future(reader.read(1))
+                await asyncio.wait((play, gone), return_when=asyncio.FIRST_COMPLETED)
+                self.running -= 1
+                if not play.done():
+                    self.closed_early += 1
+                    play.cancel()
+                    break
+                gone.cancel()
+                await asyncio.gather(gone, return_exceptions=True)
+        writer.close()
+
+    def close(self) -> None:
+        self._server.close()
+
+
+def field(head: str, name: str) -> str | None:
+    """Returns the value of a header in a head."""
+    for line in head.split("\r\n"):
+        key, _, value = line.partition(":")
+        if key.lower() == name.lower():
+            return value.strip()
+    return None
+
+
+def ok(request: str, body: bytes = b"fine", extra: str = "") -> bytes:
+    """Returns a whole answer to a request."""
+    head = f"HTTP/1.1 200 OK\r\n{ATTEMPT}: {field(request, ATTEMPT)}\r\n{extra}"
+    return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+def reset_connection(writer) -> None:
+    """Ends a connection with a reset."""
+    sock = writer.transport.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+async def answer_at_once(request, writer):
+    """Plays an upstream that answers at once."""
+    writer.write(ok(request))
+
+
+def document(**changes):
+    """Returns a document with a repeatable route `read`, `order` and an open one, to service s."""
+    route = {"service": "s", "deadline_ms": 2000, "objective_ms": 1000, "attempts": 2}
+    tree = {
+        "routes": {
+            "read": {**route, "path": "/read/"},
+            "order": {**route, "path": "/order/", "repeatable": False},
+            "open": {**route, "path": "/open/", "open": True},
+        },
+        "customers": {"shed": {"rate": 100, "burst": 100}},
+        "keys": {key_digest(KEY.decode()): {"customer": "shed"}},
+    }
+    for name, change in changes.items():
+        tree["routes"][name].update(change)
+    return validate_document(tree).value
+
+
+class Caller:
+    """A caller's connection."""
+
+    def __init__(self, reader, writer) -> None:
+        self.reader = reader
+        self.writer = writer
+
+    def send(self, target: str, attempt: str, method="GET", extra="", body="", key="secret"):
+        lines = [f"{method} {target} HTTP/1.1", "Host: any", f"{ATTEMPT}: {attempt}"]
+        if key:
+            lines.append(f"Marjoramvalve-Key: {key}")
+        if body:
+            lines.append(f"Content-Length: {len(body)}")
+        self.writer.write(("\r\n".join(lines) + "\r\n" + extra + "\r\n" + body).encode())
+
+    async def answer(self) -> tuple[int, str, bytes]:
+        """Returns status, head and body of the next answer."""
+        head = (await self.reader.readuntil(b"\r\n\r\n")).decode()
+        body = await self.reader.readexactly(int(field(head, "Content-Length") or 0))
+        return int(head.split()[1]), head, body
+
+    async def ask(self, target: str, attempt: str, **how) -> tuple[int, str, bytes]:
+        self.send(target, attempt, **how)
+        return await self.answer()
+
+
+class MeshBench:
+    """Nodes of one failure domain, each beside an upstream, that know each other."""
+
+    def __init__(self) -> None:
+        set_up_logs("critical", "test")
+        self.runner = asyncio.Runner(loop_factory=uvloop.new_event_loop)
+        self.nodes: list[MeshNode] = []
+        self.upstreams: list[Upstream] = []
+
+    def run(self, coro):
+        """Runs a coroutine; a test that hangs fails."""
+
+        async def bounded():
+            async with asyncio.timeout(20):
+                return await coro
+
+        return self.runner.run(bounded())
+
+    async def add(self, play, service="s", slots=4, doc=None) -> MeshNode:
+        """Adds a node with its upstream."""
+        upstream = Upstream(play)
+        await upstream.start()
+        name = f"n{len(self.nodes)}"
+        options = MeshOptions(
+            name, "d", service, free_address(), free_address(), upstream.address, 2.0, 0.1
+        )
+        gate = RootGate(asyncio.get_running_loop().time, random.Random(1))
+        node = MeshNode(options, OpenLimiter(), gate, random.Random(len(self.nodes)))
+        node.egress.is_confirmed = lambda: True
+        await node.start()
+        node.apply_config(1, doc or document())
+        self.nodes.append(node)
+        self.upstreams.append(upstream)
+        self.set_ready(node, f"i-{name}", slots)
+        return node
+
+    def set_ready(self, node, instance, slots=4, ready=True, born=1):
+        """Lets the upstream beside a node say what it is."""
+        service = node.options.service
+        node.ingress.set_state(UpstreamState(instance, service, slots, ready, born))
+
+    async def connect(self) -> None:
+        """Lets every node know of every other one."""
+        for node in self.nodes:
+            others = [other for other in self.nodes if other is not node]
+            node.set_peers(
+                {
+                    other.options.link_address: (other.options.name, other.options.service, True)
+                    for other in others
+                }
+            )
+            far = node.egress._far.values()
+            while not all(peer._welcome for peer in far):
+                await asyncio.sleep(0.005)
+
+    async def caller(self, node) -> Caller:
+        """Returns a new connection to a node."""
+        host, port = split_address(node.options.callers_address)
+        return Caller(*await asyncio.open_connection(host, port))
+
+    def close(self) -> None:
+        """Ends everything."""
+
+        async def end():
+            for node in self.nodes:
+                await node.close()
+            for upstream in self.upstreams:
+                upstream.close()
+
+        self.run(end())
+        self.runner.close()
--- /dev/null
+++ b/tests/test_mesh.py
@@ -0,0 +1,490 @@
+"""The way of a call over two nodes, on loopback sockets."""
+
+import asyncio
+import unittest
+
+from tests.meshes import (
+    ATTEMPT,
+    MeshBench,
+    answer_at_once,
+    document,
+    field,
+    ok,
+    reset_connection,
+)
+
+
+class MeshTestCase(unittest.TestCase):
+    """Base of the tests with nodes."""
+
+    def setUp(self):
+        self.bench = MeshBench()
+        self.addCleanup(self.bench.close)
+
+    async def pair(self, play, slots=4, doc=None):
+        """Returns a caller at a node whose calls go to the upstream beside another node."""
+        front = await self.bench.add(answer_at_once, service="front", doc=doc)
+        await self.bench.add(play, slots=slots, doc=doc)
+        await self.bench.connect()
+        return await self.bench.caller(front)
+
+    @property
+    def seen(self):
+        """Requests that the upstream behind the second node has got."""
+        return self.bench.upstreams[1].requests
+
+
+class CallTests(MeshTestCase):
+    """What reaches the upstream, and what comes back."""
+
+    def test_a_call_over_two_nodes(self):
+        async def play():
+            caller = await self.pair(answer_at_once)
+            extra = (
+                "X-Other: kept\r\nConnection: X-Drop\r\nX-Drop: 1\r\nMarjoramvalve-Caller: lie\r\n"
+            )
+            return await caller.ask("/read/a?b=c", "a1", extra=extra, body="hello", method="POST")
+
+        status, head, body = self.bench.run(play())
+        self.assertEqual((status, body), (200, b"fine"))
+        self.assertEqual(field(head, ATTEMPT), "a1")
+        request = self.seen[0]
+        self.assertTrue(request.startswith("POST /read/a?b=c HTTP/1.1\r\n"))
+        self.assertTrue(request.endswith("\r\n\r\nhello"))
+        wanted = {
+            "X-Other": "kept",
+            "X-Drop": None,
+            "Marjoramvalve-Caller": "front",
+            "Marjoramvalve-Customer": "shed",
+            "Marjoramvalve-Key": None,
+            "Marjoramvalve-Expect-Instance": "i-n1",
+            ATTEMPT: "a1",
+            "Host": "any",
+        }
+        self.assertEqual({name: field(request, name) for name in wanted}, wanted)
+        self.assertEqual(request.count("Marjoramvalve-Caller"), 1)
+        self.assertLessEqual(int(field(request, "Marjoramvalve-Deadline-Ms")), 2000)
+
+    def test_chunked_bodies_come_whole(self):
+        async def play():
+            caller = await self.pair(answer_at_once)
+            caller.send("/read/", "a1", method="PUT", extra="Transfer-Encoding: chunked\r\n")
+            caller.writer.write(b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+            return await caller.answer()
+
+        self.assertEqual(self.bench.run(play())[0], 200)
+        self.assertTrue(self.seen[0].endswith("\r\n\r\nabcde"))
+
+    def test_pipelined_answers_keep_their_order(self):
+        async def slow_first(request, writer):
+            await asyncio.sleep(0.1 if " /read/1 " in request else 0.0)
+            writer.write(ok(request, field(request, ATTEMPT).encode()))
+
+        async def play():
+            caller = await self.pair(slow_first)
+            for number in (1, 2, 3):
+                caller.send(f"/read/{number}", f"a{number}")
+            return [(await caller.answer())[2] for _ in range(3)]
+
+        self.assertEqual(self.bench.run(play()), [b"a1", b"a2", b"a3"])
+
+    def test_decisions_that_need_no_upstream(self):
+        async def play():
+            caller = await self.pair(answer_at_once)
+            return [
+                (await caller.ask("/none/", "a1"))[0],
+                (await caller.ask("/read/", "a2", key="wrong"))[0],
+                (await caller.ask("/read/", "a3", key=""))[0],
+                (await caller.ask("/open/", "a4", key=""))[0],
+            ]
+
+        self.assertEqual(self.bench.run(play()), [404, 401, 401, 200])
+
+    def test_an_unconfirmed_configuration_refuses_nothing_for_good(self):
+        async def play():
+            caller = await self.pair(answer_at_once)
+            self.bench.nodes[0].egress.is_confirmed = lambda: False
+            return [
+                (await caller.ask("/none/", "a1"))[0],
+                (await caller.ask("/read/", "a2", key="wrong"))[0],
+                (await caller.ask("/read/", "a3"))[0],
+                (await caller.ask("/open/", "a4", key=""))[0],
+            ]
+
+        self.assertEqual(self.bench.run(play()), [503, 503, 503, 200])
+
+    def test_smuggled_requests_are_refused(self):
+        async def play():
+            caller = await self.pair(answer_at_once)
+            extra = "Transfer-Encoding: chunked\r\n"
+            caller.send("/read/", "a1", method="POST", extra=extra, body="0\r\n\r\nGET /x")
+            return (await caller.answer())[0], await caller.reader.read()
+
+        status, rest = self.bench.run(play())
+        self.assertEqual((status, rest, self.seen), (400, b"", []))
+
+    def test_limits_of_callers(self):
+        async def play():
+            caller = await self.pair(answer_at_once)
+            server = self.bench.nodes[0].callers
+            server.limits = type(server.limits)(200, 10, 100, 75_000)
+            other = await self.bench.caller(self.bench.nodes[0])
+            slow = await self.bench.caller(self.bench.nodes[0])
+            slow.writer.write(b"GET /read/ HT")
+            return [
+                (await caller.ask("/read/", "a1", extra="X: " + "y" * 300 + "\r\n"))[0],
+                (await other.ask("/read/", "a2", method="POST", body="12345678901"))[0],
+                (await slow.answer())[0],
+            ]
+
+        self.assertEqual(self.bench.run(play()), [431, 413, 408])
+
+
+class AnswerTests(MeshTestCase):
+    """Answers that are late, broken, not asked for or without a length."""
+
+    def outcome(self, play, target="/order/", asks=1):
+        async def run():
+            caller = await self.pair(play)
+            return [await caller.ask(target, f"a{number}") for number in range(asks)]
+
+        return self.bench.run(run())
+
+    def test_a_truncated_answer_is_never_passed_on(self):
+        async def truncated(request, writer):
+            writer.write(ok(request, b"0123456789")[:-4])
+            writer.close()
+
+        self.assertEqual(self.outcome(truncated)[0][0], 502)
+
+    def test_an_answer_without_length_is_whole_at_its_end(self):
+        async def unframed(request, writer):
+            head = f"HTTP/1.1 200 OK\r\n{ATTEMPT}: {field(request, ATTEMPT)}\r\n\r\n"
+            writer.write(head.encode() + b"all of it")
+            writer.close()
+
+        status, _, body = self.outcome(unframed)[0]
+        self.assertEqual((status, body), (200, b"all of it"))
+
+    def test_an_answer_without_length_that_is_reset_is_not_whole(self):
+        async def reset(request, writer):
+            head = f"HTTP/1.1 200 OK\r\n{ATTEMPT}: {field(request, ATTEMPT)}\r\n\r\n"
+            writer.write(head.encode() + b"part")
+            await asyncio.sleep(0.05)
+            reset_connection(writer)
+
+        self.assertEqual(self.outcome(reset)[0][0], 502)
+
+    def test_an_extra_answer_reaches_nobody(self):
+        async def twice(request, writer):
+            writer.write(ok(request) + ok(request, b"again"))
+
+        answers = self.outcome(twice, "/read/", 3)
+        self.assertEqual([body for _, _, body in answers], [b"fine"] * 3)
+
+    def test_a_late_answer_of_another_request_is_dropped(self):
+        async def late(request, writer):
+            if field(request, ATTEMPT) == "a1":
+                other = f"HTTP/1.1 200 OK\r\n{ATTEMPT}: a0\r\nContent-Length: 3\r\n\r\nold"
+                writer.write(other.encode())
+                await asyncio.sleep(0.05)
+            writer.write(ok(request, field(request, ATTEMPT).encode()))
+
+        answers = self.outcome(late, "/read/", 2)
+        self.assertEqual([body for _, _, body in answers], [b"a0", b"a1"])
+
+    def test_a_failure_that_may_have_run_is_no_promise(self):
+        async def busy(request, writer):
+            writer.write(ok(request).replace(b"200 OK", b"503 Busy"))
+
+        self.assertEqual(self.outcome(busy)[0][0], 502)
+
+    def test_a_refusal_of_the_upstream_is_a_promise(self):
+        async def shed(request, writer):
+            extra = "Marjoramvalve-Run: not-run\r\n"
+            writer.write(ok(request, extra=extra).replace(b"200 OK", b"503 Busy"))
+
+        status, head, _ = self.outcome(shed)[0]
+        self.assertEqual(status, 503)
+        self.assertGreater(float(field(head, "Retry-After")), 0)
+
+    def test_what_may_be_repeated_goes_to_another_upstream(self):
+        async def fails(request, writer):
+            writer.write(ok(request).replace(b"200 OK", b"500 No"))
+
+        async def run(target):
+            caller = await self.pair(fails)
+            second = await self.bench.add(answer_at_once, slots=1)
+            await self.bench.connect()
+            second.ingress.times.note(b"read", 9.0)
+            return (await caller.ask(target, "a1"))[0]
+
+        self.assertEqual(self.bench.run(run("/read/")), 200)
+
+    def test_what_may_not_be_repeated_runs_once(self):
+        async def dies(request, writer):
+            reset_connection(writer)
+
+        async def run():
+            caller = await self.pair(dies)
+            await self.bench.add(dies)
+            await self.bench.connect()
+            return (await caller.ask("/order/", "a1"))[0]
+
+        self.assertEqual(self.bench.run(run()), 502)
+        self.assertEqual(sum(len(item.requests) for item in self.bench.upstreams), 1)
+
+
+class AdmissionTests(MeshTestCase):
+    """Limits and waits at the ingress. Load: more calls than slots."""
+
+    def test_slots_are_never_exceeded_and_all_are_served(self):
+        async def slow(request, writer):
+            await asyncio.sleep(0.02)
+            writer.write(ok(request))
+
+        async def play():
+            await self.pair(slow, slots=3)
+            callers = [await self.bench.caller(self.bench.nodes[0]) for _ in range(12)]
+            return await asyncio.gather(
+                *(caller.ask("/read/", f"a{number}") for number, caller in enumerate(callers))
+            )
+
+        answers = self.bench.run(play())
+        self.assertEqual({status for status, _, _ in answers}, {200})
+        self.assertEqual(self.bench.upstreams[1].most_running, 3)
+
+    def test_what_can_not_be_in_time_is_refused_at_once(self):
+        async def stuck(request, writer):
+            await asyncio.sleep(10)
+
+        async def play():
+            await self.pair(stuck, slots=1)
+            node = self.bench.nodes[1]
+            for _ in range(80):
+                node.ingress.times.note(b"read", 0.9)
+            first, second, third = [await self.bench.caller(self.bench.nodes[0]) for _ in "abc"]
+            first.send("/read/", "a1")
+            second.send("/read/", "a2")
+            await asyncio.sleep(0.05)
+            return await third.ask("/read/", "a3")
+
+        status, head, _ = self.bench.run(play())
+        self.assertEqual(status, 503)
+        self.assertGreater(float(field(head, "Retry-After")), 0)
+
+    def test_a_wait_that_is_no_longer_useful_ends(self):
+        async def stuck(request, writer):
+            await asyncio.sleep(10)
+
+        async def play():
+            doc = document(read={"objective_ms": 200})
+            await self.pair(stuck, slots=1, doc=doc)
+            first, second = [await self.bench.caller(self.bench.nodes[0]) for _ in "ab"]
+            first.send("/read/", "a1")
+            await asyncio.sleep(0.05)
+            return (await second.ask("/read/", "a2"))[0]
+
+        self.assertEqual(self.bench.run(play()), 503)
+        self.assertEqual(len(self.seen), 1)
+
+    def test_an_upstream_that_leaves_gets_nothing_more(self):
+        async def slow(request, writer):
+            await asyncio.sleep(0.1)
+            writer.write(ok(request))
+
+        async def play():
+            caller = await self.pair(slow, slots=1)
+            other = await self.bench.caller(self.bench.nodes[0])
+            await self.bench.add(answer_at_once)
+            caller.send("/read/", "a1")
+            await asyncio.sleep(0.03)
+            other.send("/read/", "a2")
+            await asyncio.sleep(0.03)
+            await self.bench.connect()
+            self.bench.set_ready(self.bench.nodes[1], "i-n1", 1, ready=False)
+            return (await caller.answer())[0], (await other.answer())[0]
+
+        self.assertEqual(self.bench.run(play()), (200, 200))
+        self.assertEqual(len(self.seen), 1)
+        self.assertEqual(len(self.bench.upstreams[2].requests), 1)
+
+    def test_a_caller_that_leaves_ends_what_may_be_repeated(self):
+        async def stuck(request, writer):
+            await asyncio.sleep(5)
+
+        async def play():
+            caller = await self.pair(stuck)
+            order = await self.bench.caller(self.bench.nodes[0])
+            caller.send("/read/", "a1")
+            order.send("/order/", "a2")
+            await asyncio.sleep(0.05)
+            caller.writer.close()
+            order.writer.close()
+            await asyncio.sleep(0.1)
+            return self.bench.upstreams[1].closed_early, self.bench.upstreams[1].running
+
+        self.assertEqual(self.bench.run(play()), (1, 1))
+
+    def test_an_answer_comes_by_the_deadline_of_the_route(self):
+        async def stuck(request, writer):
+            await asyncio.sleep(5)
+
+        async def play():
+            caller = await self.pair(stuck, doc=document(order={"deadline_ms": 150}))
+            return (await caller.ask("/order/", "a1"))[0]
+
+        self.assertEqual(self.bench.run(play()), 504)
+
+
+class LinkTests(MeshTestCase):
+    """Links that are lost, and addresses that go to another node."""
+
+    def test_a_lost_link_loses_no_call(self):
+        async def slow(request, writer):
+            await asyncio.sleep(0.15)
+            writer.write(ok(request))
+
+        async def play():
+            caller = await self.pair(slow)
+            caller.send("/order/", "a1")
+            await asyncio.sleep(0.05)
+            for peer in self.bench.nodes[0].egress._far.values():
+                peer._stream.abort()
+            return (await caller.answer())[0]
+
+        self.assertEqual(self.bench.run(play()), 200)
+        self.assertEqual(len(self.seen), 1)
+
+    def test_an_answer_that_was_ready_while_the_link_was_down_is_delivered(self):
+        async def slow(request, writer):
+            await asyncio.sleep(0.05)
+            writer.write(ok(request))
+
+        async def play():
+            caller = await self.pair(slow)
+            (peer,) = self.bench.nodes[0].egress._far.values()
+            caller.send("/order/", "a1")
+            await asyncio.sleep(0.02)
+            address, peer.address = peer.address, "127.0.0.1:1"
+            peer._stream.abort()
+            await asyncio.sleep(0.2)
+            peer.address = address
+            return (await caller.answer())[0]
+
+        self.assertEqual(self.bench.run(play()), 200)
+        self.assertEqual(len(self.seen), 1)
+
+    def test_a_call_that_never_came_goes_elsewhere_whatever_it_is(self):
+        async def play():
+            caller = await self.pair(answer_at_once)
+            (peer,) = self.bench.nodes[0].egress._far.values()
+            session = peer._stream
+            session.send = lambda kind, payload: None
+            caller.send("/order/", "a1")
+            await asyncio.sleep(0.05)
+            await self.bench.add(answer_at_once)
+            await self.bench.connect()
+            session.abort()
+            return (await caller.answer())[0]
+
+        self.assertEqual(self.bench.run(play()), 200)
+        counts = [len(item.requests) for item in self.bench.upstreams]
+        self.assertEqual(counts, [0, 0, 1])
+
+    def test_a_call_at_an_ingress_that_was_restarted_is_not_repeated(self):
+        async def stuck(request, writer):
+            await asyncio.sleep(5)
+
+        async def play():
+            caller = await self.pair(stuck)
+            caller.send("/order/", "a1")
+            await asyncio.sleep(0.05)
+            sessions = self.bench.nodes[1].sessions
+            sessions.incarnation += 1
+            sessions._sessions.clear()
+            for peer in self.bench.nodes[0].egress._far.values():
+                peer._stream.abort()
+            return (await caller.answer())[0]
+
+        self.assertEqual(self.bench.run(play()), 502)
+
+    def test_a_silent_link_does_not_hold_what_may_be_repeated(self):
+        async def play():
+            caller = await self.pair(answer_at_once)
+            await self.bench.add(answer_at_once)
+            await self.bench.connect()
+            for peer in self.bench.nodes[0].egress._far.values():
+                if peer.name == "n1":
+                    peer._stream.send = lambda kind, payload: None
+                else:
+                    peer.place.slowness, peer.place.noted_at = 9.0, 1e9
+            return (await caller.ask("/read/", "a1"))[0]
+
+        self.assertEqual(self.bench.run(play()), 200)
+        self.assertEqual(len(self.bench.upstreams[2].requests), 1)
+
+    def test_a_node_of_another_service_at_a_known_address_gets_no_calls(self):
+        async def play():
+            front = await self.bench.add(answer_at_once, service="front")
+            other = await self.bench.add(answer_at_once, service="other")
+            front.set_peers({other.options.link_address: ("old", "s", True)})
+            await asyncio.sleep(0.2)
+            caller = await self.bench.caller(front)
+            return (await caller.ask("/read/", "a1"))[0]
+
+        self.assertEqual(self.bench.run(play()), 503)
+        self.assertEqual(self.seen, [])
+
+    def test_a_link_that_stands_outlives_a_roster_that_does_not_name_it(self):
+        async def play():
+            caller = await self.pair(answer_at_once)
+            self.bench.nodes[0].set_peers({})
+            return (await caller.ask("/read/", "a1"))[0]
+
+        self.assertEqual(self.bench.run(play()), 200)
+
+
+class StopTests(MeshTestCase):
+    """Planned stops."""
+
+    def test_a_planned_stop_cuts_nothing(self):
+        async def slow(request, writer):
+            await asyncio.sleep(0.2)
+            writer.write(ok(request))
+
+        async def play():
+            caller = await self.pair(slow)
+            front, back = self.bench.nodes
+            stops = [
+                asyncio.ensure_future(node.drain(asyncio.get_running_loop().time))
+                for node in (front, back)
+            ]
+            first = await caller.ask("/read/", "a1")
+            await asyncio.gather(*stops)
+            return first
+
+        status, head, _ = self.bench.run(play())
+        self.assertEqual((status, field(head, "Connection")), (200, "close"))
+
+
+class SubCallTests(MeshTestCase):
+    """Calls that an upstream makes for a call it runs."""
+
+    def test_a_sub_call_belongs_to_the_call_above_it(self):
+        async def calls_down(request, writer):
+            caller = await self.bench.caller(self.bench.nodes[1])
+            status, _, _ = await caller.ask("/order/sub", "a1.x", key="")
+            writer.write(ok(request, str(status).encode()))
+
+        async def play():
+            caller = await self.pair(calls_down, doc=document(order={"service": "leaf"}))
+            await self.bench.add(answer_at_once, "leaf", doc=document(order={"service": "leaf"}))
+            await self.bench.connect()
+            return await caller.ask("/read/", "a1")
+
+        status, _, body = self.bench.run(play())
+        self.assertEqual((status, body), (200, b"200"))
+        leaf = self.bench.nodes[2].ingress
+        self.assertEqual(set(leaf.take_work()), {b"read"})
+        self.assertIsNone(field(self.bench.upstreams[2].requests[0], "Marjoramvalve-Customer"))
