Cut an append that a crash tore in any part; refuse other damage

Cause: a loss of power may keep the later parts of the last append and lose earlier ones; recovery took that for damage in the middle and refused the folder, so the controller would never start. Change: one append is one record; damage counts as a torn tail unless a whole record follows it. Before: the new test fails with CorruptRecord; after: 9 storage tests pass.

--- a/src/marjoramvalve/storage/records.py
+++ b/src/marjoramvalve/storage/records.py
@@ -1,8 +1,9 @@
 """Files of checksummed records.
 
 A record is a header of 16 bytes (payload length, checksum of the length, checksum of the
-payload) and the payload. The header's own checksum lets recovery tell a torn tail, which a crash
-may leave, from damage in the middle, which must not be cut away silently.
+payload) and the payload. What is appended at once makes one record, a batch. So a crash can spoil
+only the last record, in any of its parts: damage with a whole record behind it is no torn tail,
+and must not be cut away silently.
 """
 
 import os
@@ -13,6 +14,8 @@
 import xxhash
 
 HEADER = struct.Struct("<IIQ")
+LENGTH = struct.Struct("<I")
+BATCH = 1 << 31  # Set in the length of a record that holds several payloads.
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,30 +43,59 @@
     return HEADER.pack(len(payload), xxhash.xxh32_intdigest(size), checksum) + payload
 
 
+def encode_batch(payloads: list[bytes]) -> bytes:
+    """Returns one record that holds several payloads."""
+    whole = b"".join(LENGTH.pack(len(payload)) + payload for payload in payloads)
+    size = LENGTH.pack(len(whole) | BATCH)
+    checksum = xxhash.xxh3_64_intdigest(whole)
+    return HEADER.pack(len(whole) | BATCH, xxhash.xxh32_intdigest(size), checksum) + whole
+
+
+def _split_batch(whole: bytes) -> list[bytes]:
+    payloads = []
+    offset = 0
+    while offset < len(whole):
+        (size,) = LENGTH.unpack_from(whole, offset)
+        offset += LENGTH.size
+        payloads.append(whole[offset : offset + size])
+        offset += size
+    return payloads
+
+
+def _record_at(raw: bytes, offset: int) -> tuple[list[bytes], int] | str:
+    """Returns the payloads of the record at an offset and its end, or what is wrong with it."""
+    if len(raw) - offset < HEADER.size:
+        return "record header is not whole"
+    length, length_sum, payload_sum = HEADER.unpack_from(raw, offset)
+    if xxhash.xxh32_intdigest(LENGTH.pack(length)) != length_sum:
+        return "record header does not match its checksum"
+    start = offset + HEADER.size
+    end = start + (length & ~BATCH)
+    payload = raw[start:end]
+    if end > len(raw) or xxhash.xxh3_64_intdigest(payload) != payload_sum:
+        return "record payload does not match its checksum"
+    return (_split_batch(payload) if length & BATCH else [payload]), end
+
+
+def _has_record_behind(raw: bytes, offset: int) -> bool:
+    last = len(raw) - HEADER.size
+    return any(not isinstance(_record_at(raw, at), str) for at in range(offset + 1, last + 1))
+
+
 def read_records(path: Path) -> Records | CorruptRecord:
     """Returns the records of a file, cut before a torn tail, or the damage found."""
     raw = path.read_bytes()
-    payloads = []
+    payloads: list[bytes] = []
     offset = 0
     while offset < len(raw):
-        rest = len(raw) - offset
-        if rest < HEADER.size:
-            break
-        length, length_sum, payload_sum = HEADER.unpack_from(raw, offset)
-        if xxhash.xxh32_intdigest(struct.pack("<I", length)) != length_sum:
-            if not any(raw[offset:]):
-                break
-            return CorruptRecord(path, offset, "record header does not match its checksum")
-        end = offset + HEADER.size + length
-        if end > len(raw):
-            break
-        payload = raw[offset + HEADER.size : end]
-        if xxhash.xxh3_64_intdigest(payload) != payload_sum:
-            if end == len(raw):
+        match _record_at(raw, offset):
+            case str(problem):
+                if _has_record_behind(raw, offset):
+                    return CorruptRecord(path, offset, problem)
                 break
-            return CorruptRecord(path, offset, "record payload does not match its checksum")
-        payloads.append(payload)
-        offset = end
+            case (found, end):
+                payloads.extend(found)
+                offset = end
     return Records(tuple(payloads), offset, len(raw) - offset)
 
 
@@ -114,7 +146,7 @@
 
     def append(self, payloads: list[bytes]) -> None:
         """Writes records and syncs them. On OSError the file is cut back to its old end."""
-        data = b"".join(encode_record(payload) for payload in payloads)
+        data = encode_batch(payloads)
         try:
             _write_all(self._fd, data)
             self._sync()
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -47,6 +47,22 @@
             self.assertEqual(recovered.torn, size - first_two)
             self.assertEqual(read_records(self.path / "log").payloads[2], b"next")
 
+    def test_an_append_that_was_torn_anywhere_is_cut(self):
+        self.fill()
+        folder, _ = open_folder(self.path)
+        size = folder.log.size
+        folder.append([b"a" * 40, b"b" * 700, b"c" * 40])
+        folder.close()
+        raw = (self.path / "log").read_bytes()
+        for start in range(size, len(raw), 64):
+            for end in (start + 8, start + 64, len(raw)):
+                torn = raw[:start] + bytes(len(raw[start:end])) + raw[end:]
+                if torn == raw:
+                    continue
+                (self.path / "log").write_bytes(torn)
+                found = read_records(self.path / "log")
+                self.assertEqual((list(found.payloads), found.end), (PAYLOADS, size))
+
     def test_zeroes_behind_the_end_are_a_torn_tail(self):
         self.fill()
         with open(self.path / "log", "ab") as file:
