Serve counters and latency histograms as text on the metrics address

Change: a small exposition of counters, gauges and histograms; both programs serve it. Conclusion: tested through the processes; OpenTelemetry stays for the product's own daemon.

--- a/src/marjoramvalve/fleet/controllers.py
+++ b/src/marjoramvalve/fleet/controllers.py
@@ -31,6 +31,7 @@
 from marjoramvalve.fleet.states import Publish, Verdict, VerdictKind
 from marjoramvalve.fleet.tokens import TokenDesk
 from marjoramvalve.links import FrameStream, Listener
+from marjoramvalve.telemetry import Exposition
 from marjoramvalve.wire.messages import Message
 
 TICK_S = 0.1
@@ -88,6 +89,7 @@
         self._led = False
         self._knows_all = False
         self._seeds = options.seeds
+        self.metrics = Exposition()
 
     async def start(self) -> None:
         """Listens and joins the group. Raises OSError."""
@@ -335,6 +337,19 @@
 
     # For operators
 
+    def read_metrics(self) -> bytes:
+        """Returns counters and gauges as text."""
+        replica = self.group.replica
+        metrics = self.metrics
+        metrics.set("group_term", replica.term)
+        metrics.set("group_commit", replica.commit)
+        metrics.set("group_voters", len(replica.members.voters))
+        metrics.set("group_learners", len(replica.members.learners))
+        metrics.set("group_leads", float(self.leads()))
+        metrics.set("config_version", self.group.state.version)
+        metrics.set("nodes_linked", len(self._nodes))
+        return metrics.text()
+
     def leads(self) -> bool:
         """Tells whether this controller may answer for the group now."""
         return self.group.leads()
@@ -352,12 +367,14 @@
         verdict = self.group.state.judge(command.publish_id, command.base, command.version)
         if verdict is None:
             verdict = await self.group.propose(msgspec.msgpack.encode(command), PUBLISH_S)
+        outcome = str(verdict.kind) if verdict is not None else "unknown"
+        self.metrics.add("publications", outcome)
         log.info(
             "config.published",
             id=command.publish_id.hex()[:16],
             base=command.base,
             version=command.version,
-            outcome=str(verdict.kind) if verdict is not None else "unknown",
+            outcome=outcome,
             current=self.group.state.version,
         )
         if verdict is not None and verdict.kind is VerdictKind.CONFLICT and not self.leads():
--- a/src/marjoramvalve/mesh/egress.py
+++ b/src/marjoramvalve/mesh/egress.py
@@ -18,6 +18,7 @@
 from marjoramvalve.mesh.routes import RouteTable
 from marjoramvalve.mesh.timers import Deadlines
 from marjoramvalve.outcomes import Reason
+from marjoramvalve.telemetry import Exposition
 
 CHECK_S = 0.1  # How often links with calls under way are looked at.
 MAX_TRIES = 4  # Ingress nodes asked for one call before it is refused.
@@ -93,7 +94,7 @@
         self.table: RouteTable | None = None
         self.is_confirmed: Callable[[], bool] = lambda: False
         self.under_way = 0
-        self.counts: dict[str, int] = {}
+        self.metrics = Exposition()
 
     # Peers
 
@@ -339,6 +340,7 @@
         call.runs += 1
         self._means.note_end(call.target.name, failed)
         if failed and self._may_repeat(call, peer):
+            self.metrics.add("repeats", call.service)
             log.info("call.repeated", request=call.attempt, peer=peer.name, status=status)
             call.maybe_ran = True
             call.is_repeat = True
@@ -351,7 +353,9 @@
             return
         self._end(call)
         if failed:
+            self.metrics.add("upstream_errors", call.service)
             log.info("call.upstream_error", request=call.attempt, peer=peer.name, status=status)
+        self.metrics.note("answered", call.target.name, now - call.request.received_at)
         call.request.respond(status, head, body)
 
     def _may_repeat(self, call: Call, peer: Peer) -> bool:
@@ -397,6 +401,7 @@
             return
         peer.place.note(1.0, True, now)
         if self._may_repeat(call, peer):
+            self.metrics.add("repeats", call.service)
             log.info("call.repeated", request=call.attempt, peer=peer.name, why=why.name)
             call.is_repeat = True
             self._dispatch(call)
@@ -425,7 +430,7 @@
             return
         self.under_way -= 1
         call.peer.cancel(call, not call.repeatable)
-        self._count("gone")
+        self.metrics.add("callers_gone", call.target.name)
 
     def _fail(self, call: Call, reason: Reason, status: int, detail: str) -> None:
         self._end(call)
@@ -477,7 +482,7 @@
     def _respond(
         self, request: IncomingRequest, reason: Reason, status: int, after_s: float, run: str
     ) -> None:
-        self._count(str(reason))
+        self.metrics.add("own_answers", f"{status} {reason}")
         head = PROBLEM
         if after_s > 0 and status in RUN_STATEMENTS:
             spread_s = max(LEAST_AFTER_S, after_s) * (1 + JITTER * self._rng.random())
@@ -487,6 +492,3 @@
             run.encode(),
         )
         request.respond(status, head, body)
-
-    def _count(self, name: str) -> None:
-        self.counts[name] = self.counts.get(name, 0) + 1
--- a/src/marjoramvalve/mesh/nodes.py
+++ b/src/marjoramvalve/mesh/nodes.py
@@ -85,6 +85,22 @@
         """Keeps links to these ingress nodes: service, address and nearness by name."""
         self.egress.set_peers(wanted)
 
+    def read_metrics(self) -> bytes:
+        """Returns counters, gauges and histograms as text."""
+        metrics = self.egress.metrics
+        running, waiting = self.ingress.load
+        metrics.set("calls_under_way", self.egress.under_way)
+        metrics.set("upstream_running", running)
+        metrics.set("upstream_waiting", waiting)
+        metrics.set("upstream_limit", self.ingress.limit)
+        metrics.set("upstream_ready", float(self.ingress.ready))
+        metrics.set("upstream_connections_opened", self.ingress.pool.opened)
+        metrics.set("caller_connections", len(self.callers.connections))
+        table = self.egress.table
+        metrics.set("config_version", table.version if table is not None else 0)
+        metrics.set("config_confirmed", float(self.egress.is_confirmed()))
+        return metrics.text()
+
     async def drain(self, clock: Callable[[], float]) -> None:
         """Ends in a planned way: serves on for a while, then finishes what runs."""
         self.stopping = True
--- a/src/marjoramvalve/telemetry/__init__.py
+++ b/src/marjoramvalve/telemetry/__init__.py
@@ -5,6 +5,7 @@
 
 from importlib import import_module
 
+from marjoramvalve.telemetry.exposition import CONTENT_TYPE, Exposition
 from marjoramvalve.telemetry.logs import BoundedWriter, set_up_bounded_logs, set_up_logs
 
 _HOMES = {
@@ -14,7 +15,14 @@
     "set_up_traces": "traces",
 }
 
-__all__ = [*_HOMES, "BoundedWriter", "set_up_bounded_logs", "set_up_logs"]
+__all__ = [
+    *_HOMES,
+    "CONTENT_TYPE",
+    "BoundedWriter",
+    "Exposition",
+    "set_up_bounded_logs",
+    "set_up_logs",
+]
 
 
 def __getattr__(name: str):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -430,6 +430,12 @@
         self.assertEqual((await self.ask(11, "/b/x", "a-2", key="k9"))[0], 401)
         self.assertEqual((await self.ask(11, "/c/x", "a-3"))[0], 404)
 
+        # Metrics of both programs.
+        for number, name in ((11, b"answered_seconds_count"), (2, b"group_voters")):
+            status, _, text = await http(f"127.0.77.{number}", 9464, "GET", "/metrics")
+            self.assertEqual(status, 200)
+            self.assertIn(name, text)
+
         # A new version is in force everywhere; the key that it drops is refused.
         third = config("00000009", tenants=[{"name": "t1", "apiKeys": ["k2"]}])
         self.assertEqual(await self.put(third, "00000001"), 200)
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -1,6 +1,8 @@
 """Telemetry: a span for each hop, logs of one line, nothing that blocks a call."""
 
 import asyncio
+import contextlib
+import os
 import random
 import unittest
 
@@ -9,7 +11,15 @@
 from opentelemetry.sdk.trace.export import SimpleSpanProcessor
 from opentelemetry.sdk.trace.export.in_memory_span_exporter import InMemorySpanExporter
 
-from marjoramvalve.telemetry import Counters, Tracing, set_up_logs, set_up_metrics, set_up_traces
+from marjoramvalve.telemetry import (
+    BoundedWriter,
+    Counters,
+    Exposition,
+    Tracing,
+    set_up_logs,
+    set_up_metrics,
+    set_up_traces,
+)
 from tests.nodes import answers
 from tests.test_gateway import OK, GatewayCase
 
@@ -74,3 +84,53 @@
 
         with asyncio.Runner(loop_factory=VirtualLoop) as runner:
             self.assertAlmostEqual(runner.run(go()), 3600, delta=1)
+
+
+class ExpositionTests(unittest.TestCase):
+    """Counters and histograms as text."""
+
+    def test_counters_gauges_and_histograms(self):
+        metrics = Exposition()
+        metrics.add("refusals", "503 overload")
+        metrics.add("refusals", "503 overload", 2)
+        metrics.set("waiting", 4)
+        for duration_s in (0.004, 0.15, 60.0):
+            metrics.note("answered", "browse", duration_s)
+        text = metrics.text().decode()
+        self.assertIn('marjoramvalve_refusals_total{label="503 overload"} 3\n', text)
+        self.assertIn("marjoramvalve_waiting 4\n", text)
+        bucket = 'marjoramvalve_answered_seconds_bucket{label="browse",le="%s"} %d\n'
+        for bound, count in (("0.005", 1), ("0.1", 1), ("0.2", 2), ("10.0", 2), ("+Inf", 3)):
+            self.assertIn(bucket % (bound, count), text)
+        self.assertIn('marjoramvalve_answered_seconds_count{label="browse"} 3\n', text)
+
+
+class BoundedWriterTests(unittest.TestCase):
+    """Logs that never block."""
+
+    def setUp(self):
+        self.reader, self.fd = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, self.fd)
+        os.set_blocking(self.reader, False)
+        self.now = 0.0
+        self.writer = BoundedWriter(5.0, lambda: self.now, self.fd)
+
+    def test_lines_above_the_bound_are_counted_and_said(self):
+        for number in range(8):
+            self.writer.msg(f"line {number}")
+        self.assertEqual(os.read(self.reader, 4096).count(b"\n"), 5)
+        self.now = 1.0
+        self.writer.msg("again")
+        self.assertIn(b"lines=3\nagain\n", os.read(self.reader, 4096))
+
+    def test_a_reader_that_does_not_read_blocks_nothing(self):
+        for _ in range(40):
+            self.now += 10.0
+            self.writer.msg("x" * 8192)
+        self.now += 10.0
+        with contextlib.suppress(BlockingIOError):
+            while os.read(self.reader, 1 << 16):
+                pass
+        self.writer.msg("later")
+        self.assertRegex(os.read(self.reader, 4096), rb"lines=[1-9]\d*\nlater")
