Count work when it comes and order by customer and route

Cause: in a surge the plan learnt costs from finished work only, and took too little for what it had let in; at equal rank of customers, viewing went behind the sub-calls of browsing. Change: slot-seconds count on arrival by their expected value and are put right at the end; queues order by the customer's rank, then the route's; the target falls to 0.6 and returns only when calm.

--- a/src/marjoramvalve/fleet/plans.py
+++ b/src/marjoramvalve/fleet/plans.py
@@ -14,9 +14,10 @@
 LOAD_LIFE_S = 2.0  # A node's report counts for this long.
 MEMORY_S = 4.0  # Time over which the cost of a call is averaged.
 TARGET = 0.92  # Share of a service's slots that is planned for; the rest takes the unevenness.
-LEAST_TARGET = 0.75
-TARGET_DOWN, TARGET_UP = 0.97, 1.01  # Steps of the target a report round, by calls that wait.
+LEAST_TARGET = 0.6
+TARGET_DOWN, TARGET_UP = 0.97, 1.02  # Steps of the target a report round, by calls that wait.
 WAITING_SHARE = 0.3  # Calls waiting, as a share of the slots, above which the target is lowered.
+CALM_SHARE = 0.1  # The same, below which it is raised again.
 KEPT = 0.3  # Part of its calls that a route keeps before those of higher rank get the rest.
 LEAST_COST = 1e-4  # Slots x seconds of a call below which a service is not taken as used by it.
 FREE = 0.99  # A route that is given this part of its calls is not limited at all.
@@ -97,8 +98,10 @@
                 taken[route] = taken.get(route, 0.0) + part
         for service, count in slots.items():
             target = self._targets.get(service, TARGET)
-            crowded = waiting[service] > WAITING_SHARE * count
-            target *= TARGET_DOWN if crowded else TARGET_UP
+            if waiting[service] > WAITING_SHARE * count:
+                target *= TARGET_DOWN
+            elif waiting[service] <= CALM_SHARE * count:
+                target *= TARGET_UP
             self._targets[service] = min(TARGET, max(LEAST_TARGET, target))
             slots[service] = count * self._targets[service]
         return slots, busy
--- a/src/marjoramvalve/mesh/egress.py
+++ b/src/marjoramvalve/mesh/egress.py
@@ -31,9 +31,16 @@
 RUN_STATEMENTS = frozenset({408, 421, 429, 503})  # Statuses that say a request has not run.
 PROBLEM = b"Content-Type: application/problem+json\r\n"
 
+ROOT_BIT = 1  # At the same rank, sub-calls go before new outside calls.
+
 log = structlog.get_logger("egress")
 
 
+def order_of(first: int, second: int) -> int:
+    """Returns the place of an outside call in queues: by customer's rank, then by route's."""
+    return min(first, 15) << 4 | min(second, 7) << 1 | ROOT_BIT
+
+
 class Limiter(Protocol):
     """Fleet-wide rates of customers."""
 
@@ -217,12 +224,12 @@
     def _identify(self, call: Call, table: RouteTable) -> bool:
         """Finds out for whom a call is; False once it is refused."""
         request, target = call.request, call.target
-        call.rank = 2 * target.rank + 1
+        call.rank = order_of(target.rank, target.rank)
         if request.key is None:
             parent = self._parent(request)
             if parent is not None:
                 call.is_sub_call = True
-                call.rank = parent.rank & ~1
+                call.rank = parent.rank & ~ROOT_BIT
                 call.root = parent.root
                 call.is_repeat = parent.is_repeat
             elif not target.open:
@@ -241,7 +248,7 @@
         call.customer = customer
         rank = table.customer(customer).rank
         if rank is not None:
-            call.rank = 2 * rank + 1
+            call.rank = order_of(rank, target.rank)
         return True
 
     def _parent(self, request: IncomingRequest) -> Job | None:
--- a/src/marjoramvalve/mesh/ingress.py
+++ b/src/marjoramvalve/mesh/ingress.py
@@ -66,6 +66,7 @@
         "deadline",
         "done",
         "exchange",
+        "expected_s",
         "head",
         "is_head",
         "is_repeat",
@@ -111,6 +112,7 @@
         self.is_head = is_head
         self.is_sub_call = is_sub_call
         self.started_at = 0.0
+        self.expected_s = 0.0
         self.exchange: Exchange | None = None
         self.done = False
 
@@ -134,7 +136,7 @@
         self._waiting = WaitingRoom()
         self.times = ServiceTimes()
         self.running: dict[bytes, Job] = {}
-        self.work: dict[bytes, float] = {}  # Slot-seconds by root route since they were taken.
+        self._work: dict[bytes, float] = {}
         self._count = 0
         self.on_change = lambda: None
 
@@ -220,14 +222,16 @@
         if not self.ready:
             self._refuse(job, Why.STOPPING if self.stopping else Why.NOT_READY, LEAST_AFTER_S)
             return
+        service_s = job.expected_s = self.times.of(job.route)
+        self._add_work(job, service_s)
         if self._count < self.limit and not len(self._waiting):
             self._run(job, now)
             return
-        service_s = self.times.of(job.route)
         wait_s = self._waiting.wait_s(job.rank, self.limit)
         # Others have worked for a sub-call already: it waits as long as it can still succeed.
         useful_until = (job.deadline if job.is_sub_call else job.timely) - service_s
         if now + wait_s > useful_until:
+            self._add_work(job, -service_s / 2)
             self._refuse(job, Why.BUSY, max(LEAST_AFTER_S, wait_s))
             return
         self._waiting.put(job, job.rank, service_s)
@@ -265,14 +269,21 @@
         self.pool.send(job.exchange)
 
     def take_work(self) -> dict[bytes, float]:
-        """Returns the slot-seconds spent on each root route since the last call."""
-        work, self.work = self.work, {}
+        """Returns the slot-seconds asked for by each root route since the last call.
+
+        A call counts with its expected time when it comes, so that a surge shows before its work
+        is done, and is put right at its end. What was refused counts by half: it may be asked for
+        elsewhere as well.
+        """
+        work, self._work = self._work, {}
         return work
 
+    def _add_work(self, job: Job, seconds: float) -> None:
+        self._work[job.root] = self._work.get(job.root, 0.0) + seconds
+
     def _release(self, job: Job) -> None:
         job.done = True
-        spent_s = self._loop.time() - job.started_at
-        self.work[job.root] = self.work.get(job.root, 0.0) + spent_s
+        self._add_work(job, self._loop.time() - job.started_at - job.expected_s)
         self._count -= 1
         if self.running.get(job.attempt) is job:
             del self.running[job.attempt]
@@ -328,6 +339,7 @@
 
     def _expire_waiting(self, job: Job) -> None:
         if not job.done and job.exchange is None and self._waiting.remove(job):
+            self._add_work(job, -job.expected_s / 2)
             self._refuse(job, Why.TOO_LATE, max(LEAST_AFTER_S, self._waiting.wait_s(job.rank, 1)))
 
     def _expire(self, job: Job) -> None:
@@ -345,7 +357,8 @@
         if job.done:
             return
         if job.exchange is None:
-            self._waiting.remove(job)
+            if self._waiting.remove(job):
+                self._add_work(job, -job.expected_s)
             job.done = True
             return
         if only_waiting:
