--- a/src/marjoramvalve/fleet/controllers.py
+++ b/src/marjoramvalve/fleet/controllers.py
@@ -39,6 +39,7 @@
 HELLO_LIFE_S = 1.6  # A controller not heard for this is not taken for live.
 SPARE_AFTER_S = 5.0  # A silent voter is replaced by a spare after this.
 MOST_VOTERS = 7
+PLAN_LOG_S = 1.0  # Least pause between two lines on the plan.
 PUBLISH_S = 3.0  # Longest wait for the outcome of a publication.
 
 log = structlog.get_logger("controller")
@@ -88,6 +89,8 @@
         self._task: asyncio.Task | None = None
         self._led = False
         self._knows_all = False
+        self._plan_logged_at = 0.0
+        self._was_limiting = False
         self._seeds = options.seeds
         self.metrics = Exposition()
 
@@ -259,8 +262,17 @@
             self._check_roster(now, began)
             if leads:
                 self._care_for_group(now)
+                self._log_plan(now)
             self._forget_links()
 
+    def _log_plan(self, now: float) -> None:
+        limits = self._plan.limits()
+        if now < self._plan_logged_at + PLAN_LOG_S or not (limits or self._was_limiting):
+            return
+        self._plan_logged_at = now
+        self._was_limiting = bool(limits)
+        log.info("plan.limits", let_in=limits, planned=self._plan.slots, asked=self._plan.busy)
+
     def _tell_roster(self) -> None:
         if not self._changed and not self._gone:
             return
--- a/src/marjoramvalve/fleet/plans.py
+++ b/src/marjoramvalve/fleet/plans.py
@@ -51,6 +51,16 @@
         self._planned_at = 0.0
         self._rates: dict[str, float] = {}
         self._offered: dict[str, float] = {}
+        self.slots: dict[str, float] = {}
+        self.busy: dict[str, float] = {}
+
+    def limits(self) -> dict[str, str]:
+        """Returns the routes that give way, as calls a second let in of those offered."""
+        return {
+            route: f"{rate:.1f} of {self._offered[route]:.1f}"
+            for route, rate in self._rates.items()
+            if rate < self._offered[route] * FREE
+        }
 
     def set_document(self, document: Document) -> None:
         """Takes in the ranks of the routes."""
@@ -83,6 +93,8 @@
         slots, busy = self._sum_services()
         self._learn(busy, elapsed_s)
         self._solve(slots, busy)
+        self.slots = {service: round(count, 1) for service, count in slots.items()}
+        self.busy = {service: round(sum(parts.values()), 1) for service, parts in busy.items()}
 
     def _sum_services(self) -> tuple[dict[str, float], dict[str, dict[str, float]]]:
         """Returns the slots planned for at each service, and those taken by each root route."""
