Let go of bodies once they are sent; ask the replica for a peer's silence

Cause: deadlines hold calls and jobs for seconds after they end, and with them whole bodies. Change: heads, bodies and written answers are dropped at their last use; one public question in place of a look into the replica.

--- a/src/marjoramvalve/consensus/replicas.py
+++ b/src/marjoramvalve/consensus/replicas.py
@@ -214,6 +214,11 @@
             if name in self.peers()
         }
 
+    def silence(self, name: str, now: float) -> float:
+        """Returns, on the leader, the seconds since a peer was heard; infinite where never."""
+        item = self._progress.get(name)
+        return float("inf") if item is None else now - item.heard_at
+
     # Elections
 
     def _draw(self) -> float:
--- a/src/marjoramvalve/fleet/controllers.py
+++ b/src/marjoramvalve/fleet/controllers.py
@@ -339,8 +339,7 @@
         return max(1, count - (count + 1) % 2)
 
     def _is_long_silent(self, name: str, now: float) -> bool:
-        progress = self.group.replica._progress.get(name)
-        return progress is None or now > progress.heard_at + SPARE_AFTER_S
+        return self.group.replica.silence(name, now) > SPARE_AFTER_S
 
     def _change(self, action: str, name: str, address: str = "") -> None:
         verdict = self.group.change(action, name, address)
--- a/src/marjoramvalve/h1/callers.py
+++ b/src/marjoramvalve/h1/callers.py
@@ -246,6 +246,7 @@
         while self._waiting and self._waiting[0].output is not None and not close:
             request = self._waiting.popleft()
             out.append(request.output)
+            request.output = b""  # Others may hold the request for a while yet.
             close = request.should_close
         if not out or self._transport is None:
             return
@@ -265,6 +266,11 @@
         elif self._waiting and self._waiting[-1].output is None:
             self._last = self._waiting[-1]
 
+    def close(self) -> None:
+        """Sends what is due and ends the connection."""
+        if self._transport is not None:
+            self._transport.close()
+
     def sweep(self, now: float, limits: CallerLimits) -> None:
         """Ends the connection where its caller is too slow or idle for long."""
         if self._transport is None:
@@ -331,5 +337,4 @@
         if self._sweeper is not None:
             self._sweeper.cancel()
         for conn in list(self.connections):
-            if conn._transport is not None:
-                conn._transport.close()
+            conn.close()
--- a/src/marjoramvalve/mesh/egress.py
+++ b/src/marjoramvalve/mesh/egress.py
@@ -419,6 +419,7 @@
 
     def _end(self, call: Call) -> None:
         call.done = True
+        call.head = call.body = b""  # Its deadline holds the call for a while yet.
         self.under_way -= 1
 
     def _expire(self, call: Call) -> None:
--- a/src/marjoramvalve/mesh/ingress.py
+++ b/src/marjoramvalve/mesh/ingress.py
@@ -263,6 +263,7 @@
             lambda answer: self._on_answer(job, answer),
             lambda detail, unread: self._on_broken(job, detail, unread),
         )
+        job.head = job.body = b""  # Its deadline holds the job for a while yet.
         self._count += 1
         self.running[job.attempt] = job
         self._deadlines.add(job.deadline + CUT_GRACE_S, lambda: self._expire(job))
