--- /dev/null
+++ b/tests/platform_fleet.py
@@ -0,0 +1,255 @@
+"""Stand-ins of the users' platform: its operator, callers and backends, and processes of ours.
+
+Every process has a loopback address of its own, as machines have on the platform.
+"""
+
+import asyncio
+import contextlib
+import json
+import os
+import re
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+from tests.meshes import Caller
+
+ROOT = Path(__file__).resolve().parent.parent
+NET = os.environ.get("TEST_NET", "127.0.77")  # Two runs on one machine need one each.
+CONTROL, READY, CALLERS, UPSTREAM, METRICS = 18540, 18546, 18548, 18547, 9464
+
+
+def config(version="0000000c", **changes):
+    """Returns a configuration as the platform's operator sends it."""
+    path = {
+        "name": "r-1",
+        "pathPrefix": "/a/",
+        "kind": "safe",
+        "timeoutMs": 1000,
+        "goalMs": 1500,
+        "priority": 2,
+        "split": [{"service": "s1", "weight": 90}, {"service": "s2", "weight": 10}],
+        "attempts": 2,
+        "public": False,
+    }
+    order = {
+        **path,
+        "name": "r-2",
+        "pathPrefix": "/b/",
+        "kind": "unsafe",
+        "service": "s1",
+        "priority": 0,
+    }
+    del order["split"]
+    tree = {
+        "version": version,
+        "services": [
+            {"name": name, "healthPath": "/healthz", "maxConns": 20, "protocol": "h1", "tls": False}
+            for name in ("s1", "s2")
+        ],
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 1000,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+        "tenants": [
+            {"name": "t1", "apiKeys": ["k1", "k2"], "priority": 1, "ratePerS": 73, "burst": 73},
+            {"name": "t2", "apiKeys": ["k3"], "ratePerS": 0},
+        ],
+        "virtualHosts": [{"host": "One.example", "paths": [path, order]}],
+    }
+    path.update(changes.pop("path", {}))
+    tree.update(changes)
+    return json.dumps(tree).encode()
+
+
+def beat(**changes):
+    """Returns a heartbeat."""
+    tree = {
+        "service": "s1",
+        "address": "127.0.0.1:1",
+        "zone": "z",
+        "version": "v1",
+        "capacity": 7,
+        "state": "ready",
+        "coldLeftMs": 0,
+        "seq": 4,
+        "born": 1000,
+    }
+    return json.dumps({**tree, **changes}).encode()
+
+
+def settings_file(kind, number, folder, service=None, first=True):
+    """Returns the settings of a process at an address of its own."""
+    ip = address(number)
+    listen = {"control": f"{ip}:{CONTROL}"}
+    if kind != "core":
+        ports = {"inbound": 18543, "outbound": CALLERS, "ready": READY}
+        listen.update({name: f"{ip}:{port}" for name, port in ports.items()})
+    return {
+        "nodeName": f"{kind}-{number}",
+        "zone": f"z{number % 3}",
+        "ip": ip,
+        "listen": listen,
+        "internalPorts": [17000, 17015],
+        "seeds": [f"{address(seed)}:{CONTROL}" for seed in (1, 2, 3)],
+        "bootstrap": first,
+        "dataDir": folder,
+        "appAddr": f"{ip}:{UPSTREAM}" if service else None,
+        "service": service,
+        "bounds": {"revokeMs": 5000, "graceS": 6, "drainMs": 2000, "future": 1},
+        "future": {"a": 1},
+    }
+
+
+def address(number: int) -> str:
+    """Returns the loopback address of a machine."""
+    return f"{NET}.{number}"
+
+
+async def http(number, port, method, path, body=b"", headers=""):
+    """Makes one call at a machine; returns status, head and body."""
+    reader, writer = await asyncio.open_connection(address(number), port)
+    head = f"{method} {path} HTTP/1.1\r\nHost: one.example\r\n{headers}"
+    writer.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+    try:
+        return await Caller(reader, writer).answer()
+    finally:
+        writer.close()
+
+
+class Backend:
+    """A backend beside a node. It notes each attempt that it begins to run."""
+
+    def __init__(self, number: int, name: str, service="s1", work_s=0.0) -> None:
+        self.number = number
+        self.name = name
+        self.service = service
+        self.work_s = work_s
+        self.heads: list[str] = []
+        self.runs: dict[str, int] = {}
+        self._seq = 0
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, address(self.number), UPSTREAM)
+
+    def close(self) -> None:
+        self._server.close()
+
+    async def _serve(self, reader, writer) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                size = re.search(r"(?i)content-length: (\d+)", head)
+                await reader.readexactly(int(size[1]) if size else 0)
+                self.heads.append(head)
+                found = re.search(r"X-Attempt-Id: (\S+)", head)
+                attempt = found[1] if found else ""
+                self.runs[attempt] = self.runs.get(attempt, 0) + 1
+                await asyncio.sleep(self.work_s)
+                extra = f"X-Attempt-Id: {attempt}\r\n" if attempt else ""
+                extra += f"X-Instance-Id: {self.name}\r\nX-Server-Load: 0,0,5\r\n"
+                extra += f"X-Server-Stamp: {attempt}\r\nContent-Length: {len(attempt)}\r\n\r\n"
+                writer.write(f"HTTP/1.1 200 OK\r\n{extra}{attempt}".encode())
+        writer.close()
+
+    async def beat(self, **changes) -> int:
+        """Sends a heartbeat; returns the status of the answer."""
+        self._seq += 1
+        raw = beat(service=self.service, seq=self._seq, **changes)
+        path = f"/instances/{self.name}/heartbeat"
+        return (await http(self.number, CONTROL, "POST", path, raw))[0]
+
+
+class Fleet:
+    """Processes of ours. Only these are ever signalled, by their ids."""
+
+    def __init__(self) -> None:
+        self._holder = tempfile.TemporaryDirectory()
+        self.processes: dict[int, subprocess.Popen] = {}
+        self._launched: dict[int, tuple] = {}
+
+    def folder(self, number: int) -> Path:
+        return Path(self._holder.name) / f"data-{number}"
+
+    def launch(self, kind, number, service=None, first=True) -> None:
+        """Starts a controller (`core`) or a node."""
+        self._launched[number] = (kind, number, service)
+        self.folder(number).mkdir(exist_ok=True)
+        file = Path(self._holder.name) / f"{number}.json"
+        folder = str(self.folder(number))
+        file.write_text(json.dumps(settings_file(kind, number, folder, service, first)))
+        log = open(Path(self._holder.name) / f"{number}.log", "ab")
+        self.processes[number] = subprocess.Popen(
+            [sys.executable, "platform/run.py", "controller" if kind == "core" else "node"],
+            cwd=ROOT,
+            env={**os.environ, "MARJORAMVALVE_SETTINGS": str(file)},
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+
+    def again(self, number: int) -> None:
+        """Starts a process once more that has ended."""
+        self.launch(*self._launched[number], first=False)
+
+    def kill(self, number: int) -> None:
+        """Kills a process and waits for its end."""
+        self.processes[number].kill()
+        self.processes[number].wait()
+
+    def wipe(self, number: int) -> None:
+        """Empties the folder of a process that has ended."""
+        for path in self.folder(number).iterdir():
+            path.unlink()
+
+    def logs(self) -> dict[int, str]:
+        """Returns what each process has written."""
+        folder = Path(self._holder.name)
+        return {number: (folder / f"{number}.log").read_text() for number in self._launched}
+
+    def close(self) -> None:
+        """Ends everything."""
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+        self._holder.cleanup()
+
+
+async def put_config(raw: bytes, base: str) -> int | None:
+    """Puts a configuration at any controller that gives a clear answer."""
+    for number in (1, 2, 3):
+        headers = f"X-Base-Version: {base}\r\n"
+        try:
+            async with asyncio.timeout(4):
+                status, _, _ = await http(number, CONTROL, "POST", "/config/put", raw, headers)
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            continue
+        if status not in (307, 503):
+            return status
+    return None
+
+
+async def read_config() -> dict | None:
+    """Reads the configuration from whoever answers for the group."""
+    for number in (1, 2, 3):
+        try:
+            async with asyncio.timeout(1):
+                status, _, body = await http(number, CONTROL, "GET", "/config/get")
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            continue
+        if status == 200:
+            return json.loads(body)
+    return None
+
+
+async def until(ask, wanted, limit_s=60) -> None:
+    """Asks until the outcome is the wanted one. Raises TimeoutError."""
+    async with asyncio.timeout(limit_s):
+        while True:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                if await ask() == wanted:
+                    return
+            await asyncio.sleep(0.1)
--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,366 @@
+"""Fault soak: real processes, faults from outside, promises checked from what both ends see.
+
+`python -m tests.soak 1-50` plays seeds; `--seconds=20` sets how long faults last.
+"""
+
+import asyncio
+import contextlib
+import json
+import random
+import signal
+import sys
+import time
+from dataclasses import dataclass, field
+
+from tests.meshes import Caller
+from tests.platform_fleet import (
+    CALLERS,
+    READY,
+    Backend,
+    Fleet,
+    address,
+    config,
+    http,
+    put_config,
+    read_config,
+    until,
+)
+
+CONTROLLERS, NODES = (1, 2, 3), (11, 12, 13)
+SERVICES = {11: "s1", 12: "s1", 13: "s2"}
+CALLERS_AT_EACH = 3
+PAUSE_S = 0.03  # Of a caller between two requests.
+DEADLINE_MS = 2000
+REVOKE_S, APPLY_S = 5.0, 2.0  # Bounds of the platform's settings in these runs.
+RECOVERY_S = 30.0
+PROMISES = (408, 421, 429, 503)  # Statuses that say a request has not run.
+KEYS = ("k1", "k2")
+
+# Seeds that once failed, each with its cause; they are played in every run of CI.
+REGRESSIONS: dict[int, str] = {}
+
+
+@dataclass
+class Asked:
+    """One request of a caller, and its outcome."""
+
+    attempt: str
+    key: str
+    repeatable: bool
+    sent_at: float
+    status: int = 0
+    body: bytes = b""
+
+
+@dataclass
+class Soak:
+    """One run."""
+
+    seed: int
+    seconds: float
+    fleet: Fleet = field(default_factory=Fleet)
+    asked: list[Asked] = field(default_factory=list)
+    faults: list[str] = field(default_factory=list)
+    found: list[str] = field(default_factory=list)
+    revoked_at: dict[str, float] = field(default_factory=dict)
+    acked: tuple[float, int, bytes] = (0.0, 0, b"")
+    unclear: bool = False
+    running: bool = True
+
+    def __post_init__(self) -> None:
+        self.rng = random.Random(self.seed)
+        self.began = time.monotonic()
+        self.backends = {
+            number: Backend(number, f"i-{number}", service, 0.03)
+            for number, service in SERVICES.items()
+        }
+
+    def note(self, text: str) -> None:
+        self.faults.append(f"{time.monotonic() - self.began:.2f} {text}")
+
+    # Load
+
+    async def call_on(self, number: int, caller: int) -> None:
+        """Uses one connection until it ends, then the next."""
+        rng = random.Random(f"{self.seed}-{number}-{caller}")
+        count = 0
+        while self.running:
+            try:
+                streams = await asyncio.open_connection(address(number), CALLERS)
+                conn = Caller(*streams)
+                while self.running:
+                    count += 1
+                    item = Asked(
+                        f"{number}.{caller}.{count}".replace(".", "-"),
+                        rng.choice(KEYS),
+                        rng.random() < 0.5,
+                        time.monotonic(),
+                    )
+                    self.asked.append(item)
+                    await self.ask(conn, item)
+                    await asyncio.sleep(PAUSE_S)
+            except (OSError, TimeoutError, asyncio.IncompleteReadError):
+                await asyncio.sleep(0.1)
+
+    async def ask(self, conn: Caller, item: Asked) -> None:
+        path = "/a/x" if item.repeatable else "/b/x"
+        lines = [f"GET {path} HTTP/1.1", "Host: one.example", f"X-Attempt-Id: {item.attempt}"]
+        lines += [f"X-Deadline-Ms: {DEADLINE_MS}", f"X-Credential: {item.key}", "", ""]
+        conn.writer.write("\r\n".join(lines).encode())
+        async with asyncio.timeout(DEADLINE_MS / 1000 + 1):
+            item.status, head, item.body = await conn.answer()
+        if "Connection: close" in head:
+            raise ConnectionResetError("node closes the connection")
+
+    async def beat_on(self, number: int) -> None:
+        """Sends heartbeats of a backend."""
+        while True:
+            with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
+                async with asyncio.timeout(1):
+                    await self.backends[number].beat()
+            await asyncio.sleep(0.5)
+
+    # Faults
+
+    async def break_things(self) -> None:
+        """Plays faults in series that overlap."""
+        end = time.monotonic() + self.seconds
+        plays = (self.pause, self.kill, self.stop, self.kill_core, self.wipe_core, self.change)
+        tasks = []
+        while time.monotonic() < end:
+            play = self.rng.choices(plays, (3, 2, 2, 1, 1, 4))[0]
+            tasks.append(asyncio.create_task(play()))
+            await asyncio.sleep(self.rng.uniform(0.1, 2.5))
+        await asyncio.gather(*tasks)
+
+    def _take(self, numbers) -> int | None:
+        """Returns a process that no other fault is at work on."""
+        free = [number for number in numbers if number not in self.busy]
+        return self.rng.choice(free) if free else None
+
+    busy: set[int] = field(default_factory=set)
+
+    async def pause(self) -> None:
+        await self._with(NODES + CONTROLLERS, "pause", self._pause)
+
+    async def kill(self) -> None:
+        await self._with(NODES, "kill", self._kill)
+
+    async def stop(self) -> None:
+        await self._with(NODES, "stop", self._stop)
+
+    async def kill_core(self) -> None:
+        await self._with(CONTROLLERS, "kill core", self._kill)
+
+    async def wipe_core(self) -> None:
+        """Wipes one controller, while nothing else is at work on the group."""
+        if not self.busy & set(CONTROLLERS):
+            self.busy |= set(CONTROLLERS)
+            number = self.rng.choice(CONTROLLERS)
+            self.note(f"wipe {number}")
+            self.fleet.kill(number)
+            self.fleet.wipe(number)
+            self.fleet.again(number)
+            await asyncio.sleep(4.0)
+            self.busy -= set(CONTROLLERS)
+
+    async def _with(self, numbers, name, play) -> None:
+        if set(numbers) & set(CONTROLLERS) and self.busy & set(CONTROLLERS):
+            numbers = tuple(number for number in numbers if number not in CONTROLLERS)
+        number = self._take(numbers)
+        if number is None:
+            return
+        self.busy.add(number)
+        self.note(f"{name} {number}")
+        await play(number)
+        self.busy.discard(number)
+
+    async def _pause(self, number: int) -> None:
+        process = self.fleet.processes[number]
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(self.rng.uniform(0.2, 6.0))
+        process.send_signal(signal.SIGCONT)
+        await asyncio.sleep(1.0)
+
+    async def _kill(self, number: int) -> None:
+        self.fleet.kill(number)
+        await asyncio.sleep(self.rng.uniform(0.0, 1.0))
+        self.fleet.again(number)
+        await asyncio.sleep(2.0)
+
+    async def _stop(self, number: int) -> None:
+        process = self.fleet.processes[number]
+        process.send_signal(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(asyncio.to_thread(process.wait), 7.0)
+        except TimeoutError:
+            self.found.append(f"node {number} did not stop within its grace")
+            self.fleet.kill(number)
+        self.fleet.again(number)
+        await asyncio.sleep(1.0)
+
+    async def change(self) -> None:
+        """Publishes a version; some take a key away or bring it back."""
+        if "operator" in self.busy:
+            return
+        self.busy.add("operator")
+        _, version, _ = self.acked
+        keys = list(KEYS) if self.rng.random() < 0.5 else [self.rng.choice(KEYS)]
+        raw = config(f"{version + 2:08x}", tenants=[{"name": "t1", "apiKeys": keys}])
+        for _ in range(8):
+            status = await put_config(raw, f"{version:08x}")
+            if status is not None:
+                break
+            await asyncio.sleep(0.2)
+        self.note(f"change to {version + 2} with keys {keys}: {status}")
+        now = time.monotonic()
+        if status == 200:
+            self.acked = (now, version + 2, raw)
+            for key in KEYS:
+                if key in keys:
+                    self.revoked_at.pop(key, None)
+                else:
+                    self.revoked_at.setdefault(key, now)
+        elif status is None:
+            self.unclear = True
+            return  # What is in force is not known any more: the operator leaves it at that.
+        else:
+            self.found.append(f"change on {version} was answered {status}")
+        self.busy.discard("operator")
+
+    async def watch(self) -> None:
+        """Reads the configuration and looks at revoked keys while faults go on."""
+        checked = 0
+        while self.running:
+            await asyncio.sleep(0.5)
+            acked_at, version, _ = self.acked
+            is_due = time.monotonic() > acked_at + APPLY_S
+            found = await read_config()
+            if found is not None and is_due and int(found["version"], 16) < version:
+                self.found.append(
+                    f"read version {found['version']} after {version} was acknowledged"
+                )
+            for item in self.asked[checked:]:
+                revoked_at = self.revoked_at.get(item.key)
+                if revoked_at is None or item.sent_at < revoked_at + REVOKE_S:
+                    continue
+                if self.runs(item.attempt):
+                    self.found.append(f"{item.attempt} ran with key {item.key} taken away")
+            checked = max(0, len(self.asked) - 200)
+
+    def runs(self, attempt: str) -> int:
+        return sum(backend.runs.get(attempt, 0) for backend in self.backends.values())
+
+    # The run
+
+    async def play(self) -> None:
+        """Plays the run; what broke stands in `found`."""
+        for backend in self.backends.values():
+            await backend.start()
+        for number in CONTROLLERS:
+            self.fleet.launch("core", number)
+        for number in NODES:
+            self.fleet.launch("side", number, SERVICES[number])
+        beats = [asyncio.create_task(self.beat_on(number)) for number in NODES]
+        first = config("00000001", tenants=[{"name": "t1", "apiKeys": list(KEYS)}])
+        await until(lambda: put_config(first, "00000000"), 200)
+        self.acked = (time.monotonic(), 1, first)
+        await self.serves()
+        callers = [
+            asyncio.create_task(self.call_on(number, caller))
+            for number in NODES
+            for caller in range(CALLERS_AT_EACH)
+        ]
+        watch = asyncio.create_task(self.watch())
+        await self.break_things()
+        try:
+            await self.serves()
+        except TimeoutError:
+            self.found.append(f"no service {RECOVERY_S:g} s after the last fault")
+        self.running = False
+        await asyncio.gather(*callers, watch)
+        for task in beats:
+            task.cancel()
+        await self.judge()
+
+    async def serves(self) -> None:
+        """Waits until every node is ready and an order at each succeeds."""
+        for number in NODES:
+
+            async def order(number=number):
+                key = next(key for key in KEYS if key not in self.revoked_at)
+                headers = f"X-Attempt-Id: s-{number}-{time.monotonic_ns()}\r\n"
+                headers += f"X-Deadline-Ms: 900\r\nX-Credential: {key}\r\n"
+                ready = await http(number, READY, "GET", "/readyz")
+                async with asyncio.timeout(1):
+                    asked = await http(number, CALLERS, "GET", "/b/x", headers=headers)
+                return ready[0], asked[0]
+
+            async def bounded(order=order):
+                try:
+                    return await order()
+                except TimeoutError:
+                    return None
+
+            await until(bounded, (200, 200), RECOVERY_S)
+
+    async def judge(self) -> None:
+        """Checks the promises over the whole run."""
+        for item in self.asked:
+            runs = self.runs(item.attempt)
+            if not item.repeatable and runs > 1:
+                self.found.append(f"{item.attempt} may not be repeated and ran {runs} times")
+            if not item.repeatable and runs and item.status in PROMISES:
+                self.found.append(f"{item.attempt} ran and was answered {item.status}")
+            if item.status == 200 and item.body.decode() != item.attempt:
+                self.found.append(f"{item.attempt} got the answer {item.body!r}")
+        found = await read_config()
+        _, version, raw = self.acked
+        if found is None or int(found["version"], 16) < version:
+            self.found.append(f"at the end {found and found['version']} is read, acked {version}")
+        elif not self.unclear and found != json.loads(raw):
+            self.found.append("what is read at the end is not what was sent")
+
+    def close(self) -> None:
+        self.fleet.close()
+        for backend in self.backends.values():
+            backend.close()
+
+
+async def play_seed(seed: int, seconds: float) -> Soak:
+    """Plays one seed to its end."""
+    soak = Soak(seed, seconds)
+    try:
+        await soak.play()
+    finally:
+        if soak.found:
+            for number, text in soak.fleet.logs().items():
+                with open(f"soak-{seed}-{number}.log", "w") as file:
+                    file.write(text)
+        soak.close()
+    return soak
+
+
+def main(arguments: list[str]) -> int:
+    """Plays the seeds that are named; returns how many failed."""
+    seconds = 20.0
+    seeds: list[int] = []
+    for argument in arguments:
+        if argument.startswith("--seconds="):
+            seconds = float(argument.partition("=")[2])
+        else:
+            first, _, last = argument.partition("-")
+            seeds += range(int(first), int(last or first) + 1)
+    failed = 0
+    for seed in seeds:
+        soak = asyncio.run(play_seed(seed, seconds))
+        served = sum(item.status == 200 for item in soak.asked)
+        print(f"seed {seed}: {len(soak.asked)} asked, {served} served, {len(soak.found)} found")
+        if soak.found:
+            failed += 1
+            print(*soak.faults, *soak.found, sep="\n    ")
+    return failed
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,64 @@
+"""The fault soak: its checks find what they are for, and one short run holds."""
+
+import asyncio
+import json
+import unittest
+
+from tests import soak
+from tests.platform_fleet import config
+
+CI_SEED, CI_SECONDS = 7, 8.0
+
+
+class CheckTests(unittest.TestCase):
+    """Each check of the soak finds the fault it is for."""
+
+    def judged(self, runs, *asked, read=None):
+        """Returns what a run finds in which backends ran attempts and callers got answers."""
+        run = soak.Soak(1, 0.0)
+        self.addCleanup(run.fleet.close)
+        run.backends[11].runs = dict(runs)
+        run.asked = list(asked)
+        run.acked = (0.0, 12, config("0000000c"))
+
+        async def read_config():
+            return json.loads(config(read or "0000000c"))
+
+        original, soak.read_config = soak.read_config, read_config
+        try:
+            asyncio.run(run.judge())
+        finally:
+            soak.read_config = original
+        return run.found
+
+    def asked(self, repeatable, status, body=b"a"):
+        return soak.Asked("a", "k1", repeatable, 0.0, status, body)
+
+    def test_a_sound_run_passes(self):
+        self.assertEqual(self.judged({"a": 1}, self.asked(False, 200)), [])
+        self.assertEqual(self.judged({"a": 2}, self.asked(True, 200)), [])
+        self.assertEqual(self.judged({"a": 1}, self.asked(False, 502, b"")), [])
+
+    def test_a_second_run_is_found(self):
+        self.assertEqual(len(self.judged({"a": 2}, self.asked(False, 200))), 1)
+
+    def test_a_false_promise_is_found(self):
+        self.assertEqual(len(self.judged({"a": 1}, self.asked(False, 503, b""))), 1)
+
+    def test_an_answer_of_another_request_is_found(self):
+        self.assertEqual(len(self.judged({"a": 1}, self.asked(True, 200, b"b"))), 1)
+
+    def test_a_lost_configuration_is_found(self):
+        self.assertEqual(len(self.judged({}, read="00000004")), 1)
+        self.assertEqual(len(self.judged({}, read="0000000e")), 1)
+
+
+class ShortRunTests(unittest.TestCase):
+    """A short seeded run, and every seed that once failed."""
+
+    def test_seeds(self):
+        for seed in (CI_SEED, *soak.REGRESSIONS):
+            with self.subTest(seed=seed):
+                run = asyncio.run(soak.play_seed(seed, CI_SECONDS))
+                self.assertEqual(run.found, [], "\n".join(run.faults))
+                self.assertGreater(sum(item.status == 200 for item in run.asked), 0)
