--- a/src/marjoramvalve/fleet/__init__.py
+++ b/src/marjoramvalve/fleet/__init__.py
@@ -1,6 +1,7 @@
 """The control plane of a fleet that finds itself from a few seed addresses."""
 
 from marjoramvalve.fleet.controllers import Controller, ControllerOptions
+from marjoramvalve.fleet.groups import FolderError
 from marjoramvalve.fleet.members import Member, MemberOptions
 from marjoramvalve.fleet.messages import NodeLoad
 from marjoramvalve.fleet.states import Publish, Verdict, VerdictKind, pack
@@ -8,6 +9,7 @@
 __all__ = [
     "Controller",
     "ControllerOptions",
+    "FolderError",
     "Member",
     "MemberOptions",
     "NodeLoad",
--- a/src/marjoramvalve/storage/records.py
+++ b/src/marjoramvalve/storage/records.py
@@ -2,8 +2,8 @@
 
 A record is a header of 16 bytes (payload length, checksum of the length, checksum of the
 payload) and the payload. What is appended at once makes one record, a batch. So a crash can spoil
-only the last record, in any of its parts: damage with a whole record behind it is no torn tail,
-and must not be cut away silently.
+only the last record, in any of its parts: damage with a whole record behind it, or bytes that no
+append wrote, are no torn tail and must not be cut away silently.
 """
 
 import os
@@ -77,6 +77,21 @@
     return (_split_batch(payload) if length & BATCH else [payload]), end
 
 
+def _may_be_torn(raw: bytes, offset: int) -> bool:
+    """Tells whether a bad record may be what a crash left of the last append.
+
+    A part of a write that did not reach the disk reads as zeros. A header that is neither right
+    nor zero in any of its words was not written so.
+    """
+    header = raw[offset : offset + HEADER.size]
+    words = [header[at : at + LENGTH.size] for at in range(0, len(header), LENGTH.size)]
+    whole = len(header) == HEADER.size
+    right = whole and xxhash.xxh32_intdigest(words[0]) == LENGTH.unpack(words[1])[0]
+    if whole and not right and all(any(word) for word in words):
+        return False
+    return not _has_record_behind(raw, offset)
+
+
 def _has_record_behind(raw: bytes, offset: int) -> bool:
     last = len(raw) - HEADER.size
     return any(not isinstance(_record_at(raw, at), str) for at in range(offset + 1, last + 1))
@@ -90,7 +105,7 @@
     while offset < len(raw):
         match _record_at(raw, offset):
             case str(problem):
-                if _has_record_behind(raw, offset):
+                if not _may_be_torn(raw, offset):
                     return CorruptRecord(path, offset, problem)
                 break
             case (found, end):
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -63,6 +63,15 @@
                 found = read_records(self.path / "log")
                 self.assertEqual((list(found.payloads), found.end), (PAYLOADS, size))
 
+    def test_bytes_that_no_append_wrote_are_refused(self):
+        self.fill()
+        whole = (self.path / "log").read_bytes()
+        for raw, offset in ((b"x" * 500, 0), (whole + b"x" * 40, len(whole))):
+            (self.path / "log").write_bytes(raw)
+            found = read_records(self.path / "log")
+            self.assertIsInstance(found, CorruptRecord)
+            self.assertEqual(found.offset, offset)
+
     def test_zeroes_behind_the_end_are_a_torn_tail(self):
         self.fill()
         with open(self.path / "log", "ab") as file:
