Keep one copy of the splitting of addresses

Cause: links and wire each had one. Change: wire takes that of links, which now stands below it. Conclusion: lint and tests of both ways pass; behaviour as before.

--- a/src/marjoramvalve/daemon/control.py
+++ b/src/marjoramvalve/daemon/control.py
@@ -9,8 +9,8 @@
 
 from marjoramvalve.controller import SubmitPatch, Verdict
 from marjoramvalve.daemon.reports import explain_report, status_report
+from marjoramvalve.links import split_address
 from marjoramvalve.model import encode_document
-from marjoramvalve.wire.datagrams import split_address
 from marjoramvalve.wire.messages import UpstreamInfo
 
 if TYPE_CHECKING:
--- a/src/marjoramvalve/daemon/nodes.py
+++ b/src/marjoramvalve/daemon/nodes.py
@@ -10,10 +10,10 @@
 from marjoramvalve.daemon.control import ControlServer
 from marjoramvalve.daemon.cores import NodeCore
 from marjoramvalve.gateway import CallerLimits, CallerServer, Forwarder
+from marjoramvalve.links import split_address
 from marjoramvalve.settings import Settings
 from marjoramvalve.telemetry import set_up_metrics, set_up_traces
 from marjoramvalve.wire import Codec, DatagramLink, Envelope, Message, StreamLink
-from marjoramvalve.wire.datagrams import split_address
 
 CLOSING_GRACE_S = 1.0
 
--- a/src/marjoramvalve/wire/datagrams.py
+++ b/src/marjoramvalve/wire/datagrams.py
@@ -3,18 +3,13 @@
 import asyncio
 from collections.abc import Callable
 
+from marjoramvalve.links import split_address
 from marjoramvalve.wire.codec import Codec, Envelope
 from marjoramvalve.wire.messages import Message
 
 MAX_DATAGRAM_BYTES = 60_000
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Returns the host and port of `host:port`."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
 class DatagramLink(asyncio.DatagramProtocol):
     """Sends and receives messages over UDP."""
 
