Say that a request has not run only where it has not run at all

Cause: read in the change: a repeatable call that one upstream had failed, or that was moved away from a silent link, was refused 503 'not-run' when the next ingress had no room. Change: after a possible run a refusal becomes 502, run unknown; nothing is repeated towards ingress nodes that have refused already. Before: the new test got 503; after: 502.

--- a/src/marjoramvalve/mesh/egress.py
+++ b/src/marjoramvalve/mesh/egress.py
@@ -180,12 +180,13 @@
                 log.info("call.moved", request=call.attempt, silent_peer=peer.name)
                 peer.cancel(call, False)
                 call.tried.add(peer)
+                call.maybe_ran = True
                 call.is_repeat = True
                 self._dispatch(call)
 
     def _has_other(self, call: Call, peer: Peer) -> bool:
         others = self._by_service.get(call.service, ())
-        return any(item is not peer and item.usable for item in others)
+        return any(item is not peer and item not in call.tried and item.usable for item in others)
 
     def close(self) -> None:
         """Ends the links."""
@@ -450,7 +451,7 @@
         self._respond(call.request, reason, status, 0.0, "unknown")
 
     def _refuse(self, call: Call, reason: Reason, after_s: float, detail: str) -> None:
-        if call.maybe_ran and not call.repeatable:
+        if call.maybe_ran:
             self._fail(call, Reason.UPSTREAM_FAILED, 502, detail)
             return
         self._end(call)
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -223,6 +223,27 @@
 
         self.assertEqual(self.bench.run(run("/read/")), 200)
 
+    def test_a_refusal_after_a_run_does_not_say_that_it_has_not_run(self):
+        async def fails(request, writer):
+            writer.write(ok(request).replace(b"200 OK", b"500 No"))
+
+        async def sheds(request, writer):
+            extra = "Marjoramvalve-Run: not-run\r\n"
+            writer.write(ok(request, extra=extra).replace(b"200 OK", b"503 Busy"))
+
+        async def run():
+            caller = await self.pair(fails)
+            second = await self.bench.add(sheds, slots=1)
+            await self.bench.connect()
+            for peer in self.bench.nodes[0].egress._far.values():
+                if peer.name == second.options.name:
+                    peer.place.slowness, peer.place.noted_at = 9.0, 1e9
+            return await caller.ask("/read/", "a1")
+
+        status, _, body = self.bench.run(run())
+        self.assertEqual((status, b'"run":"unknown"' in body), (502, True))
+        self.assertEqual([len(item.requests) for item in self.bench.upstreams], [0, 1, 1])
+
     def test_what_may_not_be_repeated_runs_once(self):
         async def dies(request, writer):
             reset_connection(writer)
