Let a new leader hear the nodes before it limits calls

Change: for 1.2 s a new leader leaves the limits as they are. Before: the new test got limits; after: none.

--- a/src/marjoramvalve/fleet/controllers.py
+++ b/src/marjoramvalve/fleet/controllers.py
@@ -187,7 +187,7 @@
         state = self.group.state
         members = self.group.replica.members
         addresses = (*members.voters.values(), *members.learners.values())
-        caps = self._plan.caps(report.address, now) if leads else {}
+        caps = self._plan.caps(report.address, now) if leads else None
         status = Status(report.stamp, leads, state.version, addresses, caps)
         if report.version < state.version:
             stream.send(Kind.CONFIG, self._config())
@@ -250,6 +250,7 @@
             leads = self.group.leads()
             if leads != self._led:
                 self._led = leads
+                self._plan.begin(now)
                 log.info("controller.leads", leads=leads, version=self.group.state.version)
                 self._on_change()
             self._gone.update(self._roster.expire(now))
--- a/src/marjoramvalve/fleet/members.py
+++ b/src/marjoramvalve/fleet/members.py
@@ -172,7 +172,8 @@
                 log.info("leader.found", address=dialer.address, version=status.version)
             self._leader = dialer
             self._led_at = self._clock()
-            self.on_caps(status.caps)
+            if status.caps is not None:
+                self.on_caps(status.caps)
             if status.version == self.version:
                 self._confirmed_at = max(self._confirmed_at, status.stamp)
         for address in status.controllers:
--- a/src/marjoramvalve/fleet/messages.py
+++ b/src/marjoramvalve/fleet/messages.py
@@ -63,14 +63,14 @@
     """Answer to a report. `version` is the newest one only where `leads` is true.
 
     `controllers` names the addresses of the group's members. `caps` limits the outside calls a
-    second that the node lets in, by route.
+    second that the node lets in, by route; None leaves them as they are.
     """
 
     stamp: float
     leads: bool
     version: int
     controllers: tuple[str, ...]
-    caps: dict[str, float] = {}
+    caps: dict[str, float] | None = None
 
 
 class Config(msgspec.Struct, frozen=True, array_like=True):
--- a/src/marjoramvalve/fleet/plans.py
+++ b/src/marjoramvalve/fleet/plans.py
@@ -23,6 +23,7 @@
 FREE = 0.99  # A route that is given this part of its calls is not limited at all.
 LEAST_SHARE = 0.3  # Share of a node that offers nothing yet, as a part of an even one.
 ROUND_S = 0.25
+SETTLE_S = 1.2  # Time in which a new leader hears every node several times.
 
 
 @dataclass(slots=True)
@@ -48,6 +49,7 @@
         self._costs: dict[str, _Cost] = {}
         self._ranks: dict[str, int] = {}
         self._targets: dict[str, float] = {}
+        self._began = 0.0
         self._planned_at = 0.0
         self._rates: dict[str, float] = {}
         self._offered: dict[str, float] = {}
@@ -70,8 +72,16 @@
         """Takes in what a node tells."""
         self._nodes[address] = _Node(service, load, now)
 
-    def caps(self, address: str, now: float) -> dict[str, float]:
-        """Returns how many calls a second of each route a node may let in."""
+    def begin(self, now: float) -> None:
+        """Begins anew at a new leader: what some nodes tell says little of the whole."""
+        self._began = now
+        self._nodes.clear()
+        self._rates = {}
+
+    def caps(self, address: str, now: float) -> dict[str, float] | None:
+        """Returns how many calls a second of each route a node may let in; None: not known yet."""
+        if now < self._began + SETTLE_S:
+            return None
         if now > self._planned_at + ROUND_S:
             self._make(now)
         node = self._nodes.get(address)
--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -10,7 +10,7 @@
 
 from marjoramvalve.fleet.identities import Founding, founder_name, load_identity
 from marjoramvalve.fleet.messages import NodeLoad, Report
-from marjoramvalve.fleet.plans import KEPT, ROUND_S, TARGET, LoadPlan
+from marjoramvalve.fleet.plans import KEPT, ROUND_S, SETTLE_S, TARGET, LoadPlan
 from marjoramvalve.fleet.rosters import GONE_AFTER_S, RosterBook
 from marjoramvalve.fleet.states import FleetState, Publish, VerdictKind, pack, unpack_document
 from marjoramvalve.fleet.tokens import ANSWER_S, FALLBACK_S, TokenDesk, TokenLots
@@ -76,6 +76,19 @@
         crowded = self.play(offered, offered, 57, {"browse": 0.32}, waiting=50)["browse"]
         self.assertLess(crowded, calm)
 
+    def test_a_new_leader_limits_nothing_before_it_has_heard_the_nodes(self):
+        offered = {"browse": 100.0}
+        self.play(offered, offered, 40, {"browse": 0.3})
+        self.plan.begin(self.now)
+        caller = NodeLoad(offered, offered, {}, 1000, 0)
+        half = NodeLoad({}, {}, {"browse": 30.0}, 0, 0)
+        self.plan.note("caller", "front", caller, self.now + 0.3)
+        self.plan.note("leaf", "leaf", half, self.now + 0.3)
+        self.assertIsNone(self.plan.caps("caller", self.now + 0.3))
+        self.assertEqual(self.plan.limits(), {})
+        self.now += SETTLE_S
+        self.assertEqual(self.play(offered, offered, 40, {"browse": 0.3}), {})
+
     def test_nodes_that_are_silent_no_longer_count(self):
         rates = {"browse": 100.0}
         self.play(rates, rates, 40, {"browse": 0.3})
