--- a/src/marjoramvalve/mesh/gates.py
+++ b/src/marjoramvalve/mesh/gates.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-CAPS_LIFE_S = 2.5  # Caps that nobody has renewed for this long no longer bind.
+CAPS_LIFE_S = 4.0  # Caps outlive the choice of a leader and its first second; later they end.
 BURST_S = 1.0  # Calls that may come at once, as time at the capped rate.
 LEAST_BURST = 2.0
 RETRY_AFTER_S, RETRY_SPREAD_S = (
