Ask once for another usable ingress, hand tokens out in one place, drop what nothing reads

Cause: read in the whole change: two nearly equal searches for another ingress, one loop that hands out tokens written twice, two attributes and a counter read without a reader. Change: one of each; behaviour as before.

--- a/src/marjoramvalve/fleet/tokens.py
+++ b/src/marjoramvalve/fleet/tokens.py
@@ -180,11 +180,14 @@
             self._serve(customer, lot, now, after_s)
 
     def _serve(self, customer: str, lot: _Lot, now: float, after_s: float) -> None:
+        self._hand_out(lot)
+        if lot.waiting and (after_s > 0 or not self._order(customer, lot, now)):
+            self._release(lot, max(after_s, RETRY_AFTER_S))
+
+    def _hand_out(self, lot: _Lot) -> None:
         while lot.waiting and lot.tokens >= 1.0:
             lot.tokens -= 1.0
             lot.waiting.pop(0)(0.0)
-        if lot.waiting and (after_s > 0 or not self._order(customer, lot, now)):
-            self._release(lot, max(after_s, RETRY_AFTER_S))
 
     def _release(self, lot: _Lot, after_s: float) -> None:
         waiting, lot.waiting = lot.waiting, []
@@ -198,7 +201,5 @@
             if lot.waiting and now > lot.asked_at + ANSWER_S:
                 lot.is_asked = False
                 self._fall_back(lot, now)
-                while lot.waiting and lot.tokens >= 1.0:
-                    lot.tokens -= 1.0
-                    lot.waiting.pop(0)(0.0)
+                self._hand_out(lot)
                 self._release(lot, RETRY_AFTER_S)
--- a/src/marjoramvalve/mesh/egress.py
+++ b/src/marjoramvalve/mesh/egress.py
@@ -79,8 +79,6 @@
         rng: random.Random,
     ) -> None:
         self._loop = asyncio.get_running_loop()
-        self._names = names
-        self._service = service
         self._hello = hello
         self._ingress = ingress
         self._limiter = limiter
@@ -390,16 +388,12 @@
             self._refuse(call, Reason.OVERLOAD, after_s, why.name)
         elif arrived and not self._budget.take(call.service):
             self._refuse(call, Reason.OVERLOAD, after_s, "repeat budget is spent")
-        elif not self._has_untried(call):
+        elif not self._has_other(call, peer):
             reason = Reason.OVERLOAD if why in (Why.BUSY, Why.SHED) else Reason.NO_UPSTREAM
             self._refuse(call, reason, after_s, why.name)
         else:
             self._dispatch(call)
 
-    def _has_untried(self, call: Call) -> bool:
-        peers = self._by_service.get(call.service, ())
-        return any(item.usable for item in peers if item not in call.tried)
-
     def call_failed(self, peer: Peer, call: Call, why: Why) -> None:
         """Tries again what may be repeated, or fails the call."""
         if call.done:
--- a/src/marjoramvalve/telemetry/exposition.py
+++ b/src/marjoramvalve/telemetry/exposition.py
@@ -50,10 +50,6 @@
             found = self._histograms[key] = Histogram()
         found.note(duration_s)
 
-    def count(self, name: str, label: str = "") -> int:
-        """Returns a counter."""
-        return self._counts.get((name, label), 0)
-
     def text(self) -> bytes:
         """Returns everything in the text format that scrapers read."""
         lines = []
