Learn the call graph from whole runs, and serve the oldest call first

The parts that every route keeps were taken of what it offered, retries included, so that browsing alone kept more than the tightest service has, and the correction by queues took it from the routes of high rank.

Change: the plan learns time in a slot and calls made, by route, from runs that end well only, and adds up the way down. Each route keeps 0.3 of the fleet's mean share, and all of its calls up to a tenth of the tightest service. Frames carry the age of the outside call instead of its route; calls wait by rank, then by that age, so that some calls succeed in whole rather than all in part.

--- a/src/marjoramvalve/fleet/__init__.py
+++ b/src/marjoramvalve/fleet/__init__.py
@@ -3,7 +3,7 @@
 from marjoramvalve.fleet.controllers import Controller, ControllerOptions
 from marjoramvalve.fleet.groups import FolderError
 from marjoramvalve.fleet.members import Member, MemberOptions
-from marjoramvalve.fleet.messages import NodeLoad
+from marjoramvalve.fleet.messages import NodeLoad, RouteRuns
 from marjoramvalve.fleet.states import Publish, Verdict, VerdictKind, pack
 
 __all__ = [
@@ -14,6 +14,7 @@
     "MemberOptions",
     "NodeLoad",
     "Publish",
+    "RouteRuns",
     "Verdict",
     "VerdictKind",
     "pack",
--- a/src/marjoramvalve/fleet/controllers.py
+++ b/src/marjoramvalve/fleet/controllers.py
@@ -267,7 +267,7 @@
             return
         self._plan_logged_at = now
         self._was_limiting = bool(limits)
-        log.info("plan.limits", let_in=limits, planned=self._plan.slots, asked=self._plan.busy)
+        log.info("plan.limits", let_in=limits, planned=self._plan.slots, asked=self._plan.asked)
 
     def _tell_roster(self) -> None:
         if not self._changed and not self._gone:
--- a/src/marjoramvalve/fleet/messages.py
+++ b/src/marjoramvalve/fleet/messages.py
@@ -44,17 +44,25 @@
     load: "NodeLoad | None" = None
 
 
+class RouteRuns(msgspec.Struct, frozen=True, array_like=True):
+    """Runs of one route that ended well: number, slot-seconds, and sub-calls made by route."""
+
+    count: int
+    seconds: float
+    calls: dict[str, int]
+
+
 class NodeLoad(msgspec.Struct, frozen=True, array_like=True):
     """Load of a node, told to the leader.
 
-    `offered` and `admitted` count outside calls a second by route. `busy` tells how many slots of
-    the upstream beside were taken on average by each root route; `slots` how many it has, and
-    `waiting` how many calls wait there.
+    `offered` and `admitted` count outside calls a second by route. `runs` tells what ran at the
+    upstream beside since the last report, by route; `slots` how many slots it has, and `waiting`
+    how many calls wait there.
     """
 
     offered: dict[str, float]
     admitted: dict[str, float]
-    busy: dict[str, float]
+    runs: dict[str, RouteRuns]
     slots: int
     waiting: int
 
--- a/src/marjoramvalve/fleet/plans.py
+++ b/src/marjoramvalve/fleet/plans.py
@@ -1,24 +1,28 @@
 """How many outside calls of each route the whole graph of services has room for.
 
-Answers demand above what the tightest service can do. The plan learns how many slots of each
-service a call of each route takes, over all the calls that it causes. When a service would be
-asked for more than it has, routes give way by rank; every route keeps a part of its calls, so that
-none is shut out.
+Answers demand above what the tightest service can do. The plan learns the call graph from runs that
+end well: how long each route holds a slot, and how many calls of which routes it makes. Runs that
+fail make fewer calls than whole ones and would make the way down look cheaper than it is. When a
+service would be asked for more than it has, routes give way by rank; every route keeps a part of
+its calls, so that none is shut out.
 """
 
 from dataclasses import dataclass, field
 
-from marjoramvalve.fleet.messages import NodeLoad
+from marjoramvalve.fleet.messages import NodeLoad, RouteRuns
 from marjoramvalve.model import Document
 
 LOAD_LIFE_S = 2.0  # A node's report counts for this long.
-MEMORY_S = 4.0  # Time over which the cost of a call is averaged.
-TARGET = 0.92  # Share of a service's slots that is planned for; the rest takes the unevenness.
-LEAST_TARGET = 0.6
+MEMORY_S = 4.0  # Time over which runs are averaged.
+LEAST_RUNS = 1.0  # Runs that are remembered however long ago they were.
+TARGET = 0.95  # Share of a service's slots that is planned for; the rest takes the unevenness.
+LEAST_TARGET = 0.88
 TARGET_DOWN, TARGET_UP = 0.97, 1.02  # Steps of the target a report round, by calls that wait.
 WAITING_SHARE = 0.3  # Calls waiting, as a share of the slots, above which the target is lowered.
 CALM_SHARE = 0.1  # The same, below which it is raised again.
-KEPT = 0.3  # Part of its calls that a route keeps before those of higher rank get the rest.
+KEPT = 0.3  # Part of the fleet's mean share that each route keeps before ranks decide.
+KEPT_SLOTS = 0.1  # Part of the tightest service's slots up to which a route keeps all its calls.
+MOST_DEPTH = 8  # Calls of calls that are followed; deeper graphs, and loops, end here.
 LEAST_COST = 1e-4  # Slots x seconds of a call below which a service is not taken as used by it.
 FREE = 0.99  # A route that is given this part of its calls is not limited at all.
 LEAST_SHARE = 0.3  # Share of a node that offers nothing yet, as a part of an even one.
@@ -34,11 +38,25 @@
 
 
 @dataclass(slots=True)
-class _Cost:
-    """Decayed sums behind the cost of one route's calls at each service."""
+class _Runs:
+    """Decayed sums over the runs of one route that ended well."""
 
-    admitted: float = 0.0
-    busy: dict[str, float] = field(default_factory=dict)
+    count: float = 0.0
+    seconds: float = 0.0
+    calls: dict[str, float] = field(default_factory=dict)
+
+    def add(self, runs: RouteRuns) -> None:
+        self.count += runs.count
+        self.seconds += runs.seconds
+        for route, number in runs.calls.items():
+            self.calls[route] = self.calls.get(route, 0.0) + number
+
+    def fade(self, keep: float) -> None:
+        if self.count <= LEAST_RUNS:
+            return
+        self.count *= keep
+        self.seconds *= keep
+        self.calls = {route: number * keep for route, number in self.calls.items()}
 
 
 class LoadPlan:
@@ -46,15 +64,16 @@
 
     def __init__(self) -> None:
         self._nodes: dict[str, _Node] = {}
-        self._costs: dict[str, _Cost] = {}
+        self._runs: dict[str, _Runs] = {}
         self._ranks: dict[str, int] = {}
+        self._splits: dict[str, dict[str, float]] = {}
         self._targets: dict[str, float] = {}
         self._began = 0.0
         self._planned_at = 0.0
         self._rates: dict[str, float] = {}
         self._offered: dict[str, float] = {}
         self.slots: dict[str, float] = {}
-        self.busy: dict[str, float] = {}
+        self.asked: dict[str, float] = {}
 
     def limits(self) -> dict[str, str]:
         """Returns the routes that give way, as calls a second let in of those offered."""
@@ -65,12 +84,22 @@
         }
 
     def set_document(self, document: Document) -> None:
-        """Takes in the ranks of the routes."""
+        """Takes in the ranks of the routes, and where they lead."""
         self._ranks = {name: route.rank for name, route in document.routes.items()}
+        self._splits = {}
+        for name, route in document.routes.items():
+            weights = route.split or {route.service: 1.0}
+            total = sum(weights.values()) or 1.0
+            self._splits[name] = {service: part / total for service, part in weights.items()}
+        for name in self._runs.keys() - self._splits.keys():
+            del self._runs[name]
 
     def note(self, address: str, service: str, load: NodeLoad, now: float) -> None:
         """Takes in what a node tells."""
         self._nodes[address] = _Node(service, load, now)
+        for route, runs in load.runs.items():
+            if route in self._splits:
+                self._runs.setdefault(route, _Runs()).add(runs)
 
     def begin(self, now: float) -> None:
         """Begins anew at a new leader: what some nodes tell says little of the whole."""
@@ -100,24 +129,32 @@
         for address, node in list(self._nodes.items()):
             if now > node.at + LOAD_LIFE_S:
                 del self._nodes[address]
-        slots, busy = self._sum_services()
-        self._learn(busy, elapsed_s)
-        self._solve(slots, busy)
+        for runs in self._runs.values():
+            runs.fade(1.0 - elapsed_s / MEMORY_S)
+        self._offered = {}
+        for node in self._nodes.values():
+            for route, rate in node.load.offered.items():
+                self._offered[route] = self._offered.get(route, 0.0) + rate
+        slots = self._plan_slots()
+        costs = {route: self._cost(route) for route in self._offered}
+        self._solve(slots, costs)
         self.slots = {service: round(count, 1) for service, count in slots.items()}
-        self.busy = {service: round(sum(parts.values()), 1) for service, parts in busy.items()}
+        self.asked = {
+            service: round(
+                sum(rate * costs[route].get(service, 0.0) for route, rate in self._offered.items()),
+                1,
+            )
+            for service in slots
+        }
 
-    def _sum_services(self) -> tuple[dict[str, float], dict[str, dict[str, float]]]:
-        """Returns the slots planned for at each service, and those taken by each root route."""
+    def _plan_slots(self) -> dict[str, float]:
+        """Returns the slots planned for at each service."""
         slots: dict[str, float] = {}
         waiting: dict[str, float] = {}
-        busy: dict[str, dict[str, float]] = {}
         for node in self._nodes.values():
             service, load = node.service, node.load
             slots[service] = slots.get(service, 0.0) + load.slots
             waiting[service] = waiting.get(service, 0.0) + load.waiting
-            taken = busy.setdefault(service, {})
-            for route, part in load.busy.items():
-                taken[route] = taken.get(route, 0.0) + part
         for service, count in slots.items():
             target = self._targets.get(service, TARGET)
             if waiting[service] > WAITING_SHARE * count:
@@ -126,44 +163,39 @@
                 target *= TARGET_UP
             self._targets[service] = min(TARGET, max(LEAST_TARGET, target))
             slots[service] = count * self._targets[service]
-        return slots, busy
-
-    def _learn(self, busy: dict[str, dict[str, float]], elapsed_s: float) -> None:
-        keep = 1.0 - elapsed_s / MEMORY_S
-        self._offered = {}
-        admitted: dict[str, float] = {}
-        for node in self._nodes.values():
-            for route, rate in node.load.offered.items():
-                self._offered[route] = self._offered.get(route, 0.0) + rate
-            for route, rate in node.load.admitted.items():
-                admitted[route] = admitted.get(route, 0.0) + rate
-        for route in self._offered:
-            cost = self._costs.setdefault(route, _Cost())
-            cost.admitted = cost.admitted * keep + admitted.get(route, 0.0) * elapsed_s
-            for service, taken in busy.items():
-                before = cost.busy.get(service, 0.0)
-                cost.busy[service] = before * keep + taken.get(route, 0.0) * elapsed_s
-
-    def _cost(self, route: str, service: str) -> float:
-        """Returns the slots x seconds that a call of a route takes at a service."""
-        cost = self._costs[route]
-        if cost.admitted < 1.0:
-            return 0.0
-        part = cost.busy.get(service, 0.0) / cost.admitted
-        return part if part > LEAST_COST else 0.0
-
-    def _solve(self, slots: dict[str, float], busy: dict[str, dict[str, float]]) -> None:
-        left = {}
-        for service, count in slots.items():
-            taken = busy.get(service, {})
-            other = sum(part for route, part in taken.items() if route not in self._offered)
-            left[service] = max(0.0, count - other)
-        costs = {
-            route: {service: cost for service in slots if (cost := self._cost(route, service))}
-            for route in self._offered
-        }
+        return slots
+
+    def _cost(self, route: str) -> dict[str, float]:
+        """Returns the slots x seconds that a call of a route takes at each service, all the way."""
+        cost: dict[str, float] = {}
+        self._add_cost(cost, route, 1.0, MOST_DEPTH)
+        return {service: part for service, part in cost.items() if part > LEAST_COST}
+
+    def _add_cost(self, cost: dict[str, float], route: str, times: float, depth: int) -> None:
+        runs = self._runs.get(route)
+        if runs is None or runs.count <= 0 or not depth:
+            return
+        mean_s = runs.seconds / runs.count
+        for service, part in self._splits[route].items():
+            cost[service] = cost.get(service, 0.0) + times * part * mean_s
+        for callee, number in runs.calls.items():
+            self._add_cost(cost, callee, times * number / runs.count, depth - 1)
+
+    def _solve(self, slots: dict[str, float], costs: dict[str, dict[str, float]]) -> None:
+        self._share_out(dict(slots), costs, 0.0)
+        offered = sum(self._offered.values())
+        if offered > 0:
+            self._share_out(slots.copy(), costs, KEPT * sum(self._rates.values()) / offered)
+
+    def _share_out(
+        self, left: dict[str, float], costs: dict[str, dict[str, float]], kept: float
+    ) -> None:
+        """Gives every route a part of its calls first, then the rest by rank."""
         self._rates = dict.fromkeys(self._offered, 0.0)
-        wants = {route: rate * KEPT for route, rate in self._offered.items()}
+        wants = {
+            route: max(rate * kept, min(rate, _affordable(costs[route], left)))
+            for route, rate in self._offered.items()
+        }
         self._give(tuple(self._offered), wants, costs, left)
         for rank in sorted({self._ranks.get(route, 0) for route in self._offered}):
             routes = tuple(route for route in self._offered if self._ranks.get(route, 0) == rank)
@@ -181,13 +213,23 @@
         asked = dict.fromkeys(left, 0.0)
         for route in routes:
             for service, cost in costs[route].items():
-                asked[service] += wants[route] * cost
+                if service in asked:
+                    asked[service] += wants[route] * cost
         part = {
             service: min(1.0, left[service] / load) if load > 0 else 1.0
             for service, load in asked.items()
         }
         for route in routes:
-            given = wants[route] * min((part[service] for service in costs[route]), default=1.0)
+            used = [service for service in costs[route] if service in left]
+            given = wants[route] * min((part[service] for service in used), default=1.0)
             self._rates[route] += given
-            for service, cost in costs[route].items():
-                left[service] = max(0.0, left[service] - given * cost)
+            for service in used:
+                left[service] = max(0.0, left[service] - given * costs[route][service])
+
+
+def _affordable(cost: dict[str, float], slots: dict[str, float]) -> float:
+    """Returns the calls a second that take no more of any service than each route keeps."""
+    return min(
+        (KEPT_SLOTS * slots[service] / part for service, part in cost.items() if service in slots),
+        default=float("inf"),
+    )
--- a/src/marjoramvalve/mesh/__init__.py
+++ b/src/marjoramvalve/mesh/__init__.py
@@ -2,7 +2,7 @@
 
 from marjoramvalve.mesh.egress import Egress
 from marjoramvalve.mesh.gates import RootGate
-from marjoramvalve.mesh.ingress import Ingress, UpstreamState
+from marjoramvalve.mesh.ingress import Ingress, Runs, UpstreamState
 from marjoramvalve.mesh.nodes import MeshNode, MeshOptions
 
-__all__ = ["Egress", "Ingress", "MeshNode", "MeshOptions", "RootGate", "UpstreamState"]
+__all__ = ["Egress", "Ingress", "MeshNode", "MeshOptions", "RootGate", "Runs", "UpstreamState"]
--- a/src/marjoramvalve/mesh/calls.py
+++ b/src/marjoramvalve/mesh/calls.py
@@ -13,12 +13,13 @@
     """One request of a caller on its way. Times are of the loop's clock.
 
     `runs` counts the upstreams that may have run it, `tries` the ingress nodes that were asked.
-    `root` names the route of the outside call that caused this one; `is_repeat` tells that this
+    `began` is when the outside call that caused this one came in; `is_repeat` tells that this
     call, or one above it, has been sent before.
     """
 
     __slots__ = (
         "attempt",
+        "began",
         "body",
         "call_id",
         "customer",
@@ -33,7 +34,6 @@
         "rank",
         "repeatable",
         "request",
-        "root",
         "route_name",
         "runs",
         "sent_at",
@@ -59,7 +59,7 @@
         self.rank = 0
         self.is_sub_call = False
         self.is_repeat = False
-        self.root = target.raw_name
+        self.began = request.received_at
         self.customer = ""
         self.service = ""
         self.peer: Peer | None = None
--- a/src/marjoramvalve/mesh/egress.py
+++ b/src/marjoramvalve/mesh/egress.py
@@ -229,7 +229,8 @@
             if parent is not None:
                 call.is_sub_call = True
                 call.rank = parent.rank & ~ROOT_BIT
-                call.root = parent.root
+                call.began = parent.began
+                parent.calls[target.name] = parent.calls.get(target.name, 0) + 1
                 call.is_repeat = parent.is_repeat
             elif not target.open and b"." in request.attempt:
                 # A sub-call whose parent has ended or was taken in by an earlier process.
--- a/src/marjoramvalve/mesh/frames.py
+++ b/src/marjoramvalve/mesh/frames.py
@@ -58,8 +58,8 @@
     cold: bool = False
 
 
-# id, left, timely, rank, flags, length of route, of root route, of attempt, of head
-REQUEST = struct.Struct("<QIIBBBBHI")
+# id, left, timely, age of the outside call, rank, flags, length of route, of attempt, of head
+REQUEST = struct.Struct("<QIIIBBBHI")
 REPEATABLE, IS_HEAD, IS_SUB_CALL, IS_REPEAT = 1, 2, 4, 8
 # id, status, service time, running, queued, length of head
 ANSWER = struct.Struct("<QHIHHI")
--- a/src/marjoramvalve/mesh/ingress.py
+++ b/src/marjoramvalve/mesh/ingress.py
@@ -1,7 +1,7 @@
 """Ingress: takes calls for the upstream beside it, within the number it may run at once."""
 
 import asyncio
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import Protocol
 
 import structlog
@@ -52,21 +52,31 @@
         """The request may have run."""
 
 
+@dataclass(slots=True)
+class Runs:
+    """Runs of one route that ended well: their slot-seconds, and the sub-calls that they made."""
+
+    count: int = 0
+    seconds: float = 0.0
+    calls: dict[str, int] = field(default_factory=dict)
+
+
 class Job:
     """A call at the ingress. Times are of the loop's clock.
 
-    `root` names the route of the outside call that caused this one. `is_repeat` tells that the
-    call, or one above it, has been sent before.
+    `began` is when the outside call that caused this one came in. `is_repeat` tells that the call,
+    or one above it, has been sent before. `calls` counts the sub-calls made for it, by route.
     """
 
     __slots__ = (
         "attempt",
+        "began",
         "body",
         "call_id",
+        "calls",
         "deadline",
         "done",
         "exchange",
-        "expected_s",
         "head",
         "is_head",
         "is_repeat",
@@ -74,7 +84,6 @@
         "port",
         "rank",
         "repeatable",
-        "root",
         "route",
         "started_at",
         "timely",
@@ -85,12 +94,12 @@
         port: Port,
         call_id: int,
         route: bytes,
-        root: bytes,
         attempt: bytes,
         head: bytes,
         body: bytes,
         deadline: float,
         timely: float,
+        began: float,
         rank: int,
         repeatable: bool,
         is_head: bool,
@@ -100,19 +109,19 @@
         self.port = port
         self.call_id = call_id
         self.route = route
-        self.root = root
         self.is_repeat = is_repeat
         self.attempt = attempt
         self.head = head
         self.body = body
         self.deadline = deadline
         self.timely = timely
+        self.began = began
+        self.calls: dict[str, int] = {}
         self.rank = rank
         self.repeatable = repeatable
         self.is_head = is_head
         self.is_sub_call = is_sub_call
         self.started_at = 0.0
-        self.expected_s = 0.0
         self.exchange: Exchange | None = None
         self.done = False
 
@@ -136,7 +145,7 @@
         self._waiting = WaitingRoom()
         self.times = ServiceTimes()
         self.running: dict[bytes, Job] = {}
-        self._work: dict[bytes, float] = {}
+        self._runs: dict[str, Runs] = {}
         self._count = 0
         self.on_change = lambda: None
 
@@ -222,21 +231,22 @@
         if not self.ready:
             self._refuse(job, Why.STOPPING if self.stopping else Why.NOT_READY, LEAST_AFTER_S)
             return
-        service_s = job.expected_s = self.times.of(job.route)
-        self._add_work(job, service_s)
+        service_s = self.times.of(job.route)
         if self._count < self.limit and not len(self._waiting):
             self._run(job, now)
             return
-        wait_s = self._waiting.wait_s(job.rank, self.limit)
+        wait_s = self._wait_s(job)
         # Others have worked for a sub-call already: it waits as long as it can still succeed.
         useful_until = (job.deadline if job.is_sub_call else job.timely) - service_s
         if now + wait_s > useful_until:
-            self._add_work(job, -service_s / 2)
             self._refuse(job, Why.BUSY, max(LEAST_AFTER_S, wait_s))
             return
-        self._waiting.put(job, job.rank, service_s)
+        self._waiting.put(job, job.rank, job.began, service_s)
         self._deadlines.add(useful_until, lambda: self._expire_waiting(job))
 
+    def _wait_s(self, job: Job) -> float:
+        return self._waiting.wait_s(job.rank, job.began, self.limit)
+
     def _run(self, job: Job, now: float) -> None:
         left_ms = int((job.deadline - now - SPARE_S) * 1000)
         if left_ms <= 0:
@@ -269,22 +279,20 @@
         self._deadlines.add(job.deadline + CUT_GRACE_S, lambda: self._expire(job))
         self.pool.send(job.exchange)
 
-    def take_work(self) -> dict[bytes, float]:
-        """Returns the slot-seconds asked for by each root route since the last call.
-
-        A call counts with its expected time when it comes, so that a surge shows before its work
-        is done, and is put right at its end. What was refused counts by half: it may be asked for
-        elsewhere as well.
-        """
-        work, self._work = self._work, {}
-        return work
+    def take_runs(self) -> dict[str, Runs]:
+        """Returns the successful runs since the last call, by route."""
+        runs, self._runs = self._runs, {}
+        return runs
 
-    def _add_work(self, job: Job, seconds: float) -> None:
-        self._work[job.root] = self._work.get(job.root, 0.0) + seconds
+    def _note_run(self, job: Job, service_s: float) -> None:
+        runs = self._runs.setdefault(job.route.decode(), Runs())
+        runs.count += 1
+        runs.seconds += service_s
+        for route, number in job.calls.items():
+            runs.calls[route] = runs.calls.get(route, 0) + number
 
     def _release(self, job: Job) -> None:
         job.done = True
-        self._add_work(job, self._loop.time() - job.started_at - job.expected_s)
         self._count -= 1
         if self.running.get(job.attempt) is job:
             del self.running[job.attempt]
@@ -311,6 +319,7 @@
         else:
             if answer.status < 500:
                 self.times.note(job.route, service_s)
+                self._note_run(job, service_s)
             job.done = True
             job.port.job_answered(job, answer, service_s)
             self._release(job)
@@ -340,8 +349,7 @@
 
     def _expire_waiting(self, job: Job) -> None:
         if not job.done and job.exchange is None and self._waiting.remove(job):
-            self._add_work(job, -job.expected_s / 2)
-            self._refuse(job, Why.TOO_LATE, max(LEAST_AFTER_S, self._waiting.wait_s(job.rank, 1)))
+            self._refuse(job, Why.TOO_LATE, max(LEAST_AFTER_S, self._wait_s(job)))
 
     def _expire(self, job: Job) -> None:
         if job.done:
@@ -358,8 +366,7 @@
         if job.done:
             return
         if job.exchange is None:
-            if self._waiting.remove(job):
-                self._add_work(job, -job.expected_s)
+            self._waiting.remove(job)
             job.done = True
             return
         if only_waiting:
--- a/src/marjoramvalve/mesh/peers.py
+++ b/src/marjoramvalve/mesh/peers.py
@@ -110,12 +110,12 @@
             self,
             call.call_id,
             call.route_name,
-            call.root,
             call.attempt,
             call.head,
             call.body,
             call.deadline,
             call.timely,
+            call.began,
             call.rank,
             call.repeatable,
             call.is_head,
@@ -231,19 +231,18 @@
         flags = REPEATABLE if call.repeatable else 0
         flags |= (IS_HEAD if call.is_head else 0) | (IS_SUB_CALL if call.is_sub_call else 0)
         flags |= IS_REPEAT if call.is_repeat else 0
-        root = b"" if call.root == call.route_name else call.root
         meta = REQUEST.pack(
             call.call_id,
             max(0, int((call.deadline - now) * 1000)),
             max(0, int((call.timely - now) * 1000)),
+            max(0, int((now - call.began) * 1000)),
             min(call.rank, 255),
             flags,
             len(call.route_name),
-            len(root),
             len(call.attempt),
             len(call.head),
         )
-        payload = b"".join((meta, call.route_name, root, call.attempt, call.head, call.body))
+        payload = b"".join((meta, call.route_name, call.attempt, call.head, call.body))
         self._stream.send(Kind.REQUEST, payload)
 
     def cancel(self, call: "Call", only_waiting: bool) -> None:
--- a/src/marjoramvalve/mesh/sessions.py
+++ b/src/marjoramvalve/mesh/sessions.py
@@ -185,14 +185,12 @@
         stream.send(Kind.WELCOME, self._welcome())
 
     def _request(self, session: Session, payload: bytes) -> None:
-        call_id, left, timely, rank, flags, route_n, root_n, attempt_n, head_n = (
-            REQUEST.unpack_from(payload)
+        call_id, left, timely, age, rank, flags, route_n, attempt_n, head_n = REQUEST.unpack_from(
+            payload
         )
         pos = REQUEST.size
         route = payload[pos : pos + route_n]
         pos += route_n
-        root = payload[pos : pos + root_n] or route
-        pos += root_n
         attempt = payload[pos : pos + attempt_n]
         pos += attempt_n
         now = self.loop.time()
@@ -200,12 +198,12 @@
             session,
             call_id,
             route,
-            root,
             attempt,
             payload[pos : pos + head_n],
             payload[pos + head_n :],
             now + left / 1000,
             now + timely / 1000,
+            now - age / 1000,
             rank,
             bool(flags & REPEATABLE),
             bool(flags & IS_HEAD),
--- a/src/marjoramvalve/mesh/waiting.py
+++ b/src/marjoramvalve/mesh/waiting.py
@@ -1,7 +1,9 @@
-"""Calls waiting at an ingress for their upstream: by rank, then in order of arrival.
+"""Calls waiting at an ingress for their upstream: by rank, then by the age of the outside call.
 
 Answers overload of one upstream: a wait that would not end in time is refused on arrival, so that
-nobody waits in vain, and the more important calls take the room of the less important ones.
+nobody waits in vain, and the more important calls take the room of the less important ones. A call
+that makes many sub-calls fails with the first that fails: the sub-calls of the oldest go first, so
+that some calls succeed in whole rather than all in part.
 """
 
 import heapq
@@ -31,11 +33,10 @@
 
 
 class WaitingRoom:
-    """Calls in order of rank and arrival, with the work that stands before each rank."""
+    """Calls by rank, then by the time at which the outside call behind them began."""
 
     def __init__(self) -> None:
-        self._heap: list[tuple[int, int, object, float]] = []
-        self._work: dict[int, float] = {}
+        self._heap: list[tuple[int, float, int, object, float]] = []
         self._order = count()
         self._gone: set[int] = set()
         self._tickets: dict[int, int] = {}
@@ -43,17 +44,20 @@
     def __len__(self) -> int:
         return len(self._heap) - len(self._gone)
 
-    def wait_s(self, rank: int, slots: int) -> float:
-        """Returns the expected wait of a new call of a rank, in seconds."""
-        work = sum(part for other, part in self._work.items() if other <= rank)
+    def wait_s(self, rank: int, began: float, slots: int) -> float:
+        """Returns the expected wait of a new call, in seconds."""
+        place = (rank, began)
+        work = 0.0
+        for item in self._heap:
+            if item[:2] <= place and item[2] not in self._gone:
+                work += item[4]
         return work / max(1, slots)
 
-    def put(self, job: object, rank: int, service_s: float) -> None:
+    def put(self, job: object, rank: int, began: float, service_s: float) -> None:
         """Adds a call with its expected service time."""
         order = next(self._order)
         self._tickets[id(job)] = order
-        self._work[rank] = self._work.get(rank, 0.0) + service_s
-        heapq.heappush(self._heap, (rank, order, job, service_s))
+        heapq.heappush(self._heap, (rank, began, order, job, service_s))
 
     def remove(self, job: object) -> bool:
         """Takes a call out; False where it does not wait."""
@@ -66,8 +70,7 @@
     def take(self) -> object | None:
         """Returns the next call, or None."""
         while self._heap:
-            rank, order, job, service_s = heapq.heappop(self._heap)
-            self._work[rank] = max(0.0, self._work[rank] - service_s)
+            _, _, order, job, _ = heapq.heappop(self._heap)
             if order in self._gone:
                 self._gone.discard(order)
                 continue
--- a/src/marjoramvalve/node/meters.py
+++ b/src/marjoramvalve/node/meters.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from marjoramvalve.fleet import NodeLoad
+from marjoramvalve.fleet import NodeLoad, RouteRuns
 from marjoramvalve.mesh import Ingress, RootGate
 
 SMOOTHING = 0.3  # Weight of the newest span in the rates; spans are those between two reports.
@@ -10,7 +10,7 @@
 
 
 class LoadMeter:
-    """Rates of outside calls, and slots taken by them, since the last report."""
+    """Rates of outside calls, and what ran at the upstream beside, since the last report."""
 
     def __init__(self, ingress: Ingress, gate: RootGate, clock: Callable[[], float]) -> None:
         self._ingress = ingress
@@ -19,7 +19,6 @@
         self._at = clock()
         self._offered: dict[str, float] = {}
         self._admitted: dict[str, float] = {}
-        self._busy: dict[str, float] = {}
 
     def take(self) -> NodeLoad:
         """Returns the load since the last time, smoothed."""
@@ -29,11 +28,13 @@
         counts = self._gate.take_counts()
         self._smooth(self._offered, {name: item[0] / span_s for name, item in counts.items()})
         self._smooth(self._admitted, {name: item[1] / span_s for name, item in counts.items()})
-        work = self._ingress.take_work()
-        self._smooth(self._busy, {raw.decode(): part / span_s for raw, part in work.items()})
+        runs = {
+            name: RouteRuns(item.count, round(item.seconds, 3), item.calls)
+            for name, item in self._ingress.take_runs().items()
+        }
         _, waiting = self._ingress.load
         slots = self._ingress.limit if self._ingress.ready else 0
-        return NodeLoad(dict(self._offered), dict(self._admitted), dict(self._busy), slots, waiting)
+        return NodeLoad(dict(self._offered), dict(self._admitted), runs, slots, waiting)
 
     @staticmethod
     def _smooth(held: dict[str, float], new: dict[str, float]) -> None:
--- a/src/marjoramvalve/scenario/__init__.py
+++ b/src/marjoramvalve/scenario/__init__.py
@@ -2,6 +2,14 @@
 
 from marjoramvalve.scenario.deployments import DEPLOYMENTS, Deployment, Service
 from marjoramvalve.scenario.figures import Figures
+from marjoramvalve.scenario.graphs import (
+    GraphResult,
+    GraphRoute,
+    GraphService,
+    GraphWorld,
+    Surge,
+    Tally,
+)
 from marjoramvalve.scenario.runs import ScenarioResult, run_scenario
 from marjoramvalve.scenario.scripts import Script, ScriptFault, parse_script
 
@@ -9,10 +17,16 @@
     "DEPLOYMENTS",
     "Deployment",
     "Figures",
+    "GraphResult",
+    "GraphRoute",
+    "GraphService",
+    "GraphWorld",
     "ScenarioResult",
     "Script",
     "ScriptFault",
     "Service",
+    "Surge",
+    "Tally",
     "parse_script",
     "run_scenario",
 ]
--- /dev/null
+++ b/tests/test_graphs.py
@@ -0,0 +1,83 @@
+"""Loads on a call graph: the real decisions on virtual time, and what callers get."""
+
+import unittest
+
+from marjoramvalve.scenario import GraphRoute, GraphService, GraphWorld, Surge
+from marjoramvalve.telemetry import set_up_logs
+
+LENGTH_S = 20.0
+CALLS_PER_S = 70.0
+HIGH_SUCCESS = 0.99  # Success of high priority where it alone fits: the brief's target.
+GOODPUT = 0.90  # Of what fits, in sustained overload: the brief's target.
+
+SERVICES = (
+    GraphService("catalogue", 45, (0.7, 1.3)),
+    GraphService("ledger", 56, (1.0,)),
+    GraphService("timber", 75, (1.0,)),
+    GraphService("bench", 19, (1.0,)),
+)
+
+
+def routes(load: float) -> tuple[GraphRoute, ...]:
+    """Returns routes that ask for 0.8 of the slots of `bench` at a load of 1."""
+    rate = CALLS_PER_S * load
+    browse = (("lookup", 2, True),)
+    pay = (("stock", 2, True),)
+    return (
+        GraphRoute("browse", "catalogue", 0.16, 1.5, 1.0, 0.45 * rate, 1, 0.3, 2, True, browse),
+        GraphRoute("pay", "ledger", 0.21, 1.5, 1.2, 0.21 * rate, 3, 0.6, 0, False, pay),
+        GraphRoute("order", "timber", 0.11, 0.3, 1.2, 0.17 * rate, 3, 0.9, 0, False),
+        GraphRoute("view", "bench", 0.064, 0.2, 0.8, 0.17 * rate, 2, 0.6, 1),
+        GraphRoute("lookup", "ledger", 0.015, 1.0, 2.5, rank=2, calls=(("stock", 1, False),)),
+        GraphRoute("stock", "timber", 0.015, 0.8, 2.0, rank=2, calls=(("roster", 4, False),)),
+        GraphRoute("roster", "bench", 0.04, 0.3, 0.7, rank=2),
+    )
+
+
+class GraphTests(unittest.TestCase):
+    """Loads that the service at the end of the graph has no room for."""
+
+    @classmethod
+    def setUpClass(cls):
+        set_up_logs("critical", "test")
+
+    def play(self, load, *surges, with_plan=True):
+        world = GraphWorld(SERVICES, routes(load), surges, with_plan=with_plan)
+        return world.play(LENGTH_S), world.routes
+
+    def test_a_load_that_fits_is_served(self):
+        result, _ = self.play(1.0)
+        for route in result.tallies:
+            self.assertGreaterEqual(result.share(route), HIGH_SUCCESS, route)
+
+    def test_more_than_fits_costs_only_the_least_important_route(self):
+        result, _ = self.play(1.4)
+        for route in ("pay", "order", "view"):
+            self.assertGreaterEqual(result.share(route), HIGH_SUCCESS, route)
+        fits = (19 - 1.4 * CALLS_PER_S * (0.21 * 0.32 + 0.17 * 0.064)) / 0.32
+        asked = 1.4 * CALLS_PER_S * 0.45
+        self.assertGreaterEqual(result.share("browse"), GOODPUT * fits / asked)
+
+    def test_no_route_is_shut_out_in_a_long_surge(self):
+        result, _ = self.play(1.4, Surge(0.3, 18.0, 1.7))
+        shares = [result.share(route) for route in result.tallies]
+        mean = sum(item.timely + item.late for item in result.tallies.values()) / sum(
+            item.asked for item in result.tallies.values()
+        )
+        self.assertGreater(min(shares), mean / 4)
+
+    def test_callers_get_more_than_without_the_plan(self):
+        for surge in (Surge(0.3, 18.0, 1.7), Surge(6.0, 11.0, slow="bench", slowness=3.0)):
+            with self.subTest(surge=surge):
+                planned, by_name = self.play(1.25, surge)
+                free, _ = self.play(1.25, surge, with_plan=False)
+                self.assertGreater(planned.worth(by_name), free.worth(by_name))
+
+    def test_work_that_comes_to_nothing_stays_little(self):
+        result, _ = self.play(1.4, Surge(0.3, 18.0, 1.7))
+        for service, runs in result.runs.items():
+            self.assertLess(result.wasted[service], (1 - GOODPUT) * runs, service)
+
+    def test_a_surge_that_ends_leaves_no_queue(self):
+        result, _ = self.play(0.9, Surge(2.0, 8.0, 2.5))
+        self.assertGreater(result.share_since("browse", 13.0), HIGH_SUCCESS)
