--- a/src/marjoramvalve/mesh/egress.py
+++ b/src/marjoramvalve/mesh/egress.py
@@ -172,12 +172,13 @@
     def _move_calls(self, peer: FarPeer) -> None:
         """Sends what may be repeated elsewhere while a link says nothing."""
         for call in list(peer.calls.values()):
-            if call.repeatable and call.runs < call.target.attempts:
+            if call.repeatable and call.runs + 1 < call.target.attempts:
                 if not self._has_other(call, peer) or not self._budget.take(call.service):
                     continue
                 log.info("call.moved", request=call.attempt, silent_peer=peer.name)
                 peer.cancel(call, False)
                 call.tried.add(peer)
+                call.runs += 1
                 call.maybe_ran = True
                 call.is_repeat = True
                 self._dispatch(call)
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -468,6 +468,31 @@
         self.assertEqual(self.bench.run(play()), 200)
 
 
+    def test_a_call_that_was_moved_has_used_one_of_its_attempts(self):
+        async def stuck(request, writer):
+            await asyncio.sleep(5)
+
+        async def fails(request, writer):
+            head = f"HTTP/1.1 500 No\r\n{ATTEMPT}: {field(request, ATTEMPT)}\r\n"
+            writer.write(f"{head}Content-Length: 0\r\n\r\n".encode())
+
+        async def play():
+            caller = await self.pair(stuck)
+            caller.send("/read/", "a1")
+            await asyncio.sleep(0.05)
+            for _ in "ab":
+                await self.bench.add(fails)
+            await self.bench.connect()
+            for _ in range(20):
+                self.bench.nodes[0].egress._budget.first("s")
+            (peer,) = [p for p in self.bench.nodes[0].egress._far.values() if p.calls]
+            self.bench.nodes[0].egress._move_calls(peer)
+            return (await caller.answer())[0]
+
+        self.assertEqual(self.bench.run(play()), 500)
+        self.assertEqual(sum(len(item.requests) for item in self.bench.upstreams), 2)
+
+
 class StopTests(MeshTestCase):
     """Planned stops."""
 
