Send operators on only to a leader that speaks

The leader was frozen at that moment; the other controllers went on naming it until they had elected another, so that an operator lost a second with each of them.

Change: a controller names the leader only while it has heard it within three heartbeats, and otherwise waits up to 0.7 s for another one to be found. Rates of calls start at their first value and follow it faster; another failure domain costs 1.0 of the service time more, for 0.7.

--- a/src/marjoramvalve/consensus/replicas.py
+++ b/src/marjoramvalve/consensus/replicas.py
@@ -230,6 +230,10 @@
     def _log_is_as_new(self, last_term: int, last_index: int) -> bool:
         return (last_term, last_index) >= (self.log.last_term, self.log.last_index)
 
+    def leader_silent_s(self, now: float) -> float:
+        """Returns, on a follower, the seconds since its leader was heard."""
+        return now - self._heard_at
+
     def _leader_is_live(self) -> bool:
         if self.role is Role.LEADER:
             return True
--- a/src/marjoramvalve/fleet/controllers.py
+++ b/src/marjoramvalve/fleet/controllers.py
@@ -40,6 +40,8 @@
 SPARE_AFTER_S = 5.0  # A silent voter is replaced by a spare after this.
 MOST_VOTERS = 7
 PLAN_LOG_S = 1.0  # Least pause between two lines on the plan.
+LEADER_SILENT_S = 0.45  # Three heartbeats; a leader that missed them may be gone.
+LEADER_WAIT_S = 0.7  # Longest wait for another one; operators try elsewhere after a second.
 PUBLISH_S = 3.0  # Longest wait for the outcome of a publication.
 
 log = structlog.get_logger("controller")
@@ -361,11 +363,22 @@
         """Tells whether this controller may answer for the group now."""
         return self.group.leads()
 
-    def leader_control(self) -> str:
-        """Returns the operators' address of the leader, or an empty text."""
-        address = self.group.replica.leader.partition("/")[0]
-        peer = self._peers.get(address)
-        return peer.hello.control if peer is not None else ""
+    async def find_leader(self) -> str:
+        """Returns the operators' address of the leader as soon as it is known and speaks.
+
+        Empty where this controller leads itself, or where nobody is found in time.
+        """
+        until = self._clock() + LEADER_WAIT_S
+        while not self.leads():
+            now = self._clock()
+            replica = self.group.replica
+            peer = self._peers.get(replica.leader.partition("/")[0])
+            if peer is not None and replica.leader_silent_s(now) < LEADER_SILENT_S:
+                return peer.hello.control
+            if now >= until:
+                break
+            await asyncio.sleep(TICK_S)
+        return ""
 
     async def publish(self, command: Publish) -> Verdict | None:
         """Publishes a document; None means that the outcome is unknown."""
--- a/src/marjoramvalve/mesh/places.py
+++ b/src/marjoramvalve/mesh/places.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-FAR_SHARE = 0.7  # Cost of another failure domain, as a part of the service time...
+FAR_SHARE = 1.0  # Cost of another failure domain, as a part of the service time...
 FAR_S = 0.004  # ...and for the way there and back, and the bytes between domains.
 SMOOTHING = 0.1  # Weight of a new answer in speed and failure rate.
 FAILURE_WEIGHT = 6.0  # An upstream that always fails costs as much as one seven times as slow.
--- a/src/marjoramvalve/node/meters.py
+++ b/src/marjoramvalve/node/meters.py
@@ -5,7 +5,7 @@
 from marjoramvalve.fleet import NodeLoad, RouteRuns
 from marjoramvalve.mesh import Ingress, RootGate
 
-SMOOTHING = 0.3  # Weight of the newest span in the rates; spans are those between two reports.
+SMOOTHING = 0.5  # Weight of the newest span in the rates; spans are those between two reports.
 FORGET_BELOW = 0.05  # Rates a second under this are left out.
 
 
@@ -39,7 +39,7 @@
     @staticmethod
     def _smooth(held: dict[str, float], new: dict[str, float]) -> None:
         for name in held.keys() | new.keys():
-            before = held.get(name, 0.0)
+            before = held.get(name, new.get(name, 0.0))
             value = round(before + SMOOTHING * (new.get(name, 0.0) - before), 3)
             if value < FORGET_BELOW:
                 held.pop(name, None)
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -467,7 +467,6 @@
 
         self.assertEqual(self.bench.run(play()), 200)
 
-
     def test_a_call_that_was_moved_has_used_one_of_its_attempts(self):
         async def stuck(request, writer):
             await asyncio.sleep(5)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -228,6 +228,26 @@
     def test_a_fleet_from_first_start_to_the_loss_of_a_disk(self):
         asyncio.run(self._play())
 
+    def test_operators_are_not_sent_to_a_leader_that_is_silent(self):
+        asyncio.run(self._freeze())
+
+    async def _freeze(self):
+        for number in (1, 2, 3):
+            self.fleet.launch("core", number)
+        await until(lambda: put_config(config("00000001"), "00000000"), 200)
+
+        async def read(number):
+            return await http(number, CONTROL, "GET", "/config/get")
+
+        statuses = {number: (await read(number))[0] for number in (1, 2, 3)}
+        leader = next(number for number, status in statuses.items() if status == 200)
+        self.fleet.processes[leader].send_signal(signal.SIGSTOP)
+        await asyncio.sleep(0.55)
+        for number in {1, 2, 3} - {leader}:
+            _, head, _ = await read(number)
+            self.assertNotIn(f"http://{address(leader)}:", head)
+        await until(read_config, json.loads(config("00000001")))
+
     async def _play(self):
         backend = Backend(12, "i-1")
         await backend.start()
