Spoil links and disks in the fault soak, and report each run with a plot

The soak knew signals only. Links now go by way of a loopback proxy before each process: delayed, reset, cut in one direction, silenced. A controller's disk is filled by a limit on the size of its files. Faults overlap as before, on one controller at a time. `make soak-faults ARGS="--seeds=1-50"`; `--fresh=10` draws seeds, `--report=FOLDER` writes plots of service over time with the faults marked.

For the proxy, a process may be reached at another host than the one it listens on (MARJORAMVALVE_LINK_HOST, checked: platform.E003), as behind translated addresses.

Clocks are not played: the programs use the time since boot, which a process cannot be given from outside here.

--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,10 @@
 soak: install
 	SOAK=1 $(BIN)/nose2 -s tests -t . tests.test_consensus
 
+.PHONY: soak-faults
+soak-faults: install
+	$(BIN)/python -m tests.soak $(ARGS)
+
 bench-hop: install
 	$(BIN)/python -m benches.hop $(ARGS)
 
--- a/src/marjoramvalve/fleet/controllers.py
+++ b/src/marjoramvalve/fleet/controllers.py
@@ -49,10 +49,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ControllerOptions:
-    """What a controller is built from. Addresses are for links but for `control`."""
+    """What a controller is built from. Addresses are for links but for `control`.
+
+    Others reach it at `address`; it listens on `listen_address`.
+    """
 
     domain: str
     address: str
+    listen_address: str
     control: str
     folder: Path
     seeds: tuple[str, ...]
@@ -96,7 +100,7 @@
 
     async def start(self) -> None:
         """Listens and joins the group. Raises OSError."""
-        await self._listener.start(self.options.address)
+        await self._listener.start(self.options.listen_address)
         await self.group.start()
         self.set_seeds(self.options.seeds)
         self._task = asyncio.create_task(self._run())
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -14,10 +14,13 @@
 from pathlib import Path
 
 from tests.meshes import Caller
+from tests.proxies import LinkProxy
 
 ROOT = Path(__file__).resolve().parent.parent
 NET = os.environ.get("TEST_NET", "127.0.77")  # Two runs on one machine need one each.
 CONTROL, READY, CALLERS, UPSTREAM, METRICS = 18540, 18546, 18548, 18547, 9464
+NODE_LINKS, CONTROLLER_LINKS = 18543, 17000
+PROXIED = 100  # Added to a machine's number for the address of the proxy before its links.
 
 
 def config(version="0000000c", **changes):
@@ -81,12 +84,12 @@
     return json.dumps({**tree, **changes}).encode()
 
 
-def settings_file(kind, number, folder, service=None, first=True):
+def settings_file(kind, number, folder, service=None, first=True, seeds=(1, 2, 3)):
     """Returns the settings of a process at an address of its own."""
     ip = address(number)
     listen = {"control": f"{ip}:{CONTROL}"}
     if kind != "core":
-        ports = {"inbound": 18543, "outbound": CALLERS, "ready": READY}
+        ports = {"inbound": NODE_LINKS, "outbound": CALLERS, "ready": READY}
         listen.update({name: f"{ip}:{port}" for name, port in ports.items()})
     return {
         "nodeName": f"{kind}-{number}",
@@ -94,7 +97,7 @@
         "ip": ip,
         "listen": listen,
         "internalPorts": [17000, 17015],
-        "seeds": [f"{address(seed)}:{CONTROL}" for seed in (1, 2, 3)],
+        "seeds": [f"{address(seed)}:{CONTROL}" for seed in seeds],
         "bootstrap": first,
         "dataDir": folder,
         "appAddr": f"{ip}:{UPSTREAM}" if service else None,
@@ -164,9 +167,14 @@
 
 
 class Fleet:
-    """Processes of ours. Only these are ever signalled, by their ids."""
+    """Processes of ours. Only these are ever signalled, by their ids.
 
-    def __init__(self) -> None:
+    With `proxied`, links go by way of a proxy before each process, where they can be spoiled.
+    """
+
+    def __init__(self, proxied: bool = False) -> None:
+        self._proxied = proxied
+        self.proxies: dict[int, LinkProxy] = {}
         self._holder = tempfile.TemporaryDirectory()
         self.processes: dict[int, subprocess.Popen] = {}
         self._launched: dict[int, tuple] = {}
@@ -180,17 +188,29 @@
         self.folder(number).mkdir(exist_ok=True)
         file = Path(self._holder.name) / f"{number}.json"
         folder = str(self.folder(number))
-        file.write_text(json.dumps(settings_file(kind, number, folder, service, first)))
+        seeds = tuple(seed + PROXIED * self._proxied for seed in (1, 2, 3))
+        file.write_text(json.dumps(settings_file(kind, number, folder, service, first, seeds)))
+        variables = {"MARJORAMVALVE_SETTINGS": str(file)}
+        if self._proxied:
+            variables["MARJORAMVALVE_LINK_HOST"] = address(number + PROXIED)
         log = open(Path(self._holder.name) / f"{number}.log", "ab")
         self.processes[number] = subprocess.Popen(
             [sys.executable, "platform/run.py", "controller" if kind == "core" else "node"],
             cwd=ROOT,
-            env={**os.environ, "MARJORAMVALVE_SETTINGS": str(file)},
+            env={**os.environ, **variables},
             stdout=log,
             stderr=log,
         )
         log.close()
 
+    async def start_proxies(self, controllers, nodes) -> None:
+        """Starts the proxies before the links of these machines."""
+        ports = dict.fromkeys(controllers, CONTROLLER_LINKS) | dict.fromkeys(nodes, NODE_LINKS)
+        for number, port in ports.items():
+            listen, target = address(number + PROXIED), address(number)
+            proxy = self.proxies[number] = LinkProxy(f"{listen}:{port}", f"{target}:{port}")
+            await proxy.start()
+
     def again(self, number: int) -> None:
         """Starts a process once more that has ended."""
         self.launch(*self._launched[number], first=False)
@@ -212,6 +232,8 @@
 
     def close(self) -> None:
         """Ends everything."""
+        for proxy in self.proxies.values():
+            proxy.close()
         for process in self.processes.values():
             process.kill()
             process.wait()
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,17 +1,21 @@
 """Fault soak: real processes, faults from outside, promises checked from what both ends see.
 
-`python -m tests.soak 1-50` plays seeds; `--seconds=20` sets how long faults last.
+`python -m tests.soak --seeds=1-50` plays seeds, `--fresh=10` ten that nobody has played yet;
+`--seconds=20` sets how long faults last, `--report=FOLDER` writes a plot of each run.
 """
 
 import asyncio
 import contextlib
 import json
 import random
+import resource
 import signal
 import sys
 import time
 from dataclasses import dataclass, field
 
+import fire
+
 from tests.meshes import Caller
 from tests.platform_fleet import (
     CALLERS,
@@ -25,6 +29,8 @@
     read_config,
     until,
 )
+from tests.proxies import FROM, TO
+from tests.soak_reports import describe, plot
 
 CONTROLLERS, NODES = (1, 2, 3), (11, 12, 13)
 SERVICES = {11: "s1", 12: "s1", 13: "s2"}
@@ -58,9 +64,9 @@
 
     seed: int
     seconds: float
-    fleet: Fleet = field(default_factory=Fleet)
+    fleet: Fleet = field(default_factory=lambda: Fleet(proxied=True))
     asked: list[Asked] = field(default_factory=list)
-    faults: list[str] = field(default_factory=list)
+    faults: list[tuple[float, str]] = field(default_factory=list)
     found: list[str] = field(default_factory=list)
     revoked_at: dict[str, float] = field(default_factory=dict)
     acked: tuple[float, int, bytes] = (0.0, 0, b"")
@@ -76,7 +82,7 @@
         }
 
     def note(self, text: str) -> None:
-        self.faults.append(f"{time.monotonic() - self.began:.2f} {text}")
+        self.faults.append((time.monotonic() - self.began, text))
 
     # Load
 
@@ -125,10 +131,19 @@
     async def break_things(self) -> None:
         """Plays faults in series that overlap."""
         end = time.monotonic() + self.seconds
-        plays = (self.pause, self.kill, self.stop, self.kill_core, self.wipe_core, self.change)
+        plays = {
+            self.pause: 3,
+            self.kill: 2,
+            self.stop: 2,
+            self.kill_core: 1,
+            self.wipe_core: 1,
+            self.fill_disk: 1,
+            self.change: 4,
+            self.spoil_links: 4,
+        }
         tasks = []
         while time.monotonic() < end:
-            play = self.rng.choices(plays, (3, 2, 2, 1, 1, 4))[0]
+            play = self.rng.choices(tuple(plays), tuple(plays.values()))[0]
             tasks.append(asyncio.create_task(play()))
             await asyncio.sleep(self.rng.uniform(0.1, 2.5))
         await asyncio.gather(*tasks)
@@ -175,6 +190,39 @@
         await play(number)
         self.busy.discard(number)
 
+    async def fill_disk(self) -> None:
+        await self._with(CONTROLLERS, "fill disk", self._fill_disk)
+
+    async def spoil_links(self) -> None:
+        name = self.rng.choice(("delay links", "reset links", "cut to", "cut from", "silence"))
+
+        async def play(number: int) -> None:
+            proxy = self.fleet.proxies[number]
+            match name:
+                case "delay links":
+                    proxy.delay_s = self.rng.uniform(0.01, 0.4)
+                case "reset links":
+                    proxy.reset()
+                case "cut to":
+                    proxy.cut(TO)
+                case "cut from":
+                    proxy.cut(FROM)
+                case "silence":
+                    proxy.cut(TO, FROM)
+            await asyncio.sleep(self.rng.uniform(0.2, 6.0))
+            proxy.heal()
+            await asyncio.sleep(1.0)
+
+        await self._with(NODES + CONTROLLERS, name, play)
+
+    async def _fill_disk(self, number: int) -> None:
+        """Lets no file of a controller grow any further for a while."""
+        pid = self.fleet.processes[number].pid
+        before = resource.prlimit(pid, resource.RLIMIT_FSIZE, (1, resource.RLIM_INFINITY))
+        await asyncio.sleep(self.rng.uniform(0.2, 5.0))
+        resource.prlimit(pid, resource.RLIMIT_FSIZE, before)
+        await asyncio.sleep(1.0)
+
     async def _pause(self, number: int) -> None:
         process = self.fleet.processes[number]
         process.send_signal(signal.SIGSTOP)
@@ -257,6 +305,7 @@
         """Plays the run; what broke stands in `found`."""
         for backend in self.backends.values():
             await backend.start()
+        await self.fleet.start_proxies(CONTROLLERS, NODES)
         for number in CONTROLLERS:
             self.fleet.launch("core", number)
         for number in NODES:
@@ -341,26 +390,28 @@
     return soak
 
 
-def main(arguments: list[str]) -> int:
-    """Plays the seeds that are named; returns how many failed."""
-    seconds = 20.0
-    seeds: list[int] = []
-    for argument in arguments:
-        if argument.startswith("--seconds="):
-            seconds = float(argument.partition("=")[2])
-        else:
-            first, _, last = argument.partition("-")
-            seeds += range(int(first), int(last or first) + 1)
+def list_seeds(seeds: str, fresh: int) -> list[int]:
+    """Returns the seeds of a range like `1-50` or `7`, and as many new ones as are asked for."""
+    listed = []
+    if seeds:
+        first, _, last = seeds.partition("-")
+        listed += range(int(first), int(last or first) + 1)
+    draw = random.SystemRandom()
+    return listed + [draw.randrange(1000, 10**9) for _ in range(fresh)]
+
+
+def main(seeds: str = "", fresh: int = 0, seconds: float = 20.0, report: str = "") -> None:
+    """Plays seeds and ends with the number of those that failed as its status."""
     failed = 0
-    for seed in seeds:
-        soak = asyncio.run(play_seed(seed, seconds))
-        served = sum(item.status == 200 for item in soak.asked)
-        print(f"seed {seed}: {len(soak.asked)} asked, {served} served, {len(soak.found)} found")
-        if soak.found:
-            failed += 1
-            print(*soak.faults, *soak.found, sep="\n    ")
-    return failed
+    for seed in list_seeds(str(seeds), fresh):
+        run = asyncio.run(play_seed(seed, seconds))
+        print(describe(run), flush=True)
+        if report:
+            plot(run, report)
+        failed += bool(run.found)
+    print(f"{failed} seeds failed")
+    sys.exit(min(failed, 99))
 
 
 if __name__ == "__main__":
-    sys.exit(main(sys.argv[1:]))
+    fire.Fire(main)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -183,12 +183,12 @@
 class SettingsTests(unittest.TestCase):
     """The settings file."""
 
-    def load(self, raw):
+    def load(self, raw, **variables):
         with tempfile.NamedTemporaryFile() as file:
             file.write(raw)
             file.flush()
             before = dict(os.environ)
-            os.environ["MARJORAMVALVE_SETTINGS"] = file.name
+            os.environ.update(variables, MARJORAMVALVE_SETTINGS=file.name)
             try:
                 return load_settings()
             finally:
@@ -201,9 +201,18 @@
 
     def test_controllers_are_found_at_the_first_internal_port(self):
         settings = self.load(json.dumps(settings_file("core", 1, "/data")).encode())
-        self.assertEqual(settings.controller_address, f"{address(1)}:17000")
+        self.assertEqual(settings.link_address, f"{address(1)}:17000")
+        self.assertEqual(settings.listen_address, f"{address(1)}:17000")
         self.assertEqual(settings.controller_seeds[2], f"{address(3)}:17000")
 
+    def test_a_process_behind_translated_addresses_names_the_other_host(self):
+        raw = json.dumps(settings_file("side", 11, None, "s1")).encode()
+        settings = self.load(raw, MARJORAMVALVE_LINK_HOST="10.9.9.9")
+        self.assertEqual(settings.link_address, "10.9.9.9:18543")
+        self.assertEqual(settings.listen_address, f"{address(11)}:18543")
+        fault = self.load(raw, MARJORAMVALVE_LINK_HOST="10.9.9.9:80")
+        self.assertEqual((fault.id, fault.value), ("platform.E003", "10.9.9.9:80"))
+
 
 class ProcessTests(unittest.TestCase):
     """Controllers and nodes as processes of their own, through the platform's calls."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -60,5 +60,5 @@
         for seed in (CI_SEED, *soak.REGRESSIONS):
             with self.subTest(seed=seed):
                 run = asyncio.run(soak.play_seed(seed, CI_SECONDS))
-                self.assertEqual(run.found, [], "\n".join(run.faults))
+                self.assertEqual(run.found, [], soak.describe(run))
                 self.assertGreater(sum(item.status == 200 for item in run.asked), 0)
