Leave the last slots of an upstream free where full means slow

The ingress filled every slot.

Change: an ingress uses all slots only in short trials (0.5 s in 5 s) until it has compared a hundred calls that found the upstream full with those that did not; what it concludes holds for 30 s. The plan may use all of the slots that are left.

--- a/src/marjoramvalve/fleet/plans.py
+++ b/src/marjoramvalve/fleet/plans.py
@@ -15,8 +15,8 @@
 LOAD_LIFE_S = 2.0  # A node's report counts for this long.
 MEMORY_S = 4.0  # Time over which runs are averaged.
 LEAST_RUNS = 1.0  # Runs that are remembered however long ago they were.
-TARGET = 0.95  # Share of a service's slots that is planned for; the rest takes the unevenness.
-LEAST_TARGET = 0.88
+TARGET = 1.0  # Share of a service's slots that is planned for; the rest takes the unevenness.
+LEAST_TARGET = 0.9
 TARGET_DOWN, TARGET_UP = 0.97, 1.02  # Steps of the target a report round, by calls that wait.
 WAITING_SHARE = 0.3  # Calls waiting, as a share of the slots, above which the target is lowered.
 CALM_SHARE = 0.1  # The same, below which it is raised again.
--- a/src/marjoramvalve/mesh/ingress.py
+++ b/src/marjoramvalve/mesh/ingress.py
@@ -8,6 +8,7 @@
 
 from marjoramvalve.h1 import Exchange, HeaderNames, UpstreamAnswer, UpstreamPool
 from marjoramvalve.mesh.frames import Why
+from marjoramvalve.mesh.knees import Knee
 from marjoramvalve.mesh.timers import Deadlines
 from marjoramvalve.mesh.waiting import ServiceTimes, WaitingRoom
 
@@ -66,6 +67,7 @@
 
     `began` is when the outside call that caused this one came in. `is_repeat` tells that the call,
     or one above it, has been sent before. `calls` counts the sub-calls made for it, by route.
+    `found_full` tells that it found the upstream full when it started.
     """
 
     __slots__ = (
@@ -77,6 +79,7 @@
         "deadline",
         "done",
         "exchange",
+        "found_full",
         "head",
         "is_head",
         "is_repeat",
@@ -122,6 +125,7 @@
         self.is_head = is_head
         self.is_sub_call = is_sub_call
         self.started_at = 0.0
+        self.found_full = False
         self.exchange: Exchange | None = None
         self.done = False
 
@@ -144,6 +148,7 @@
         self._unreachable_until = 0.0
         self._waiting = WaitingRoom()
         self.times = ServiceTimes()
+        self._knee = Knee()
         self.running: dict[bytes, Job] = {}
         self._runs: dict[str, Runs] = {}
         self._count = 0
@@ -170,7 +175,7 @@
         else:
             self._limit = most
         self._limit_at = now
-        return max(1, int(self._limit)) if most else 0
+        return max(1, min(int(self._limit), self._knee.limit(self.state.slots, now))) if most else 0
 
     @property
     def load(self) -> tuple[int, int]:
@@ -275,6 +280,7 @@
         )
         job.head = job.body = b""  # Its deadline holds the job for a while yet.
         self._count += 1
+        job.found_full = self._knee.is_full(self._count, self.state.slots)
         self.running[job.attempt] = job
         self._deadlines.add(job.deadline + CUT_GRACE_S, lambda: self._expire(job))
         self.pool.send(job.exchange)
@@ -291,6 +297,12 @@
         for route, number in job.calls.items():
             runs.calls[route] = runs.calls.get(route, 0) + number
 
+    def _note_knee(self, job: Job, service_s: float, now: float) -> None:
+        if job.calls:  # Its time tells more of those it called.
+            return
+        if self._knee.note(job.route, service_s, job.found_full, now):
+            log.info("upstream.full", instance=self.state.instance, limit=self.limit)
+
     def _release(self, job: Job) -> None:
         job.done = True
         self._count -= 1
@@ -320,6 +332,7 @@
             if answer.status < 500:
                 self.times.note(job.route, service_s)
                 self._note_run(job, service_s)
+                self._note_knee(job, service_s, now)
             job.done = True
             job.port.job_answered(job, answer, service_s)
             self._release(job)
--- a/src/marjoramvalve/scenario/graphs.py
+++ b/src/marjoramvalve/scenario/graphs.py
@@ -31,11 +31,15 @@
 
 @dataclass(frozen=True)
 class GraphService:
-    """A service: slots of each of its upstreams, and their speeds against the mean."""
+    """A service: slots of each of its upstreams, and their speeds against the mean.
+
+    With the last twentieth of its slots in use, an upstream takes `full_slowness` as long.
+    """
 
     name: str
     slots: int
     speeds: tuple[float, ...]
+    full_slowness: float = 1.0
 
 
 @dataclass(frozen=True)
@@ -144,6 +148,8 @@
         self._running.add(exchange)
         self._world.result.runs[self._node.service.name] += 1
         half_s = self._world.work_s(route, self._node.service.name) / self._speed / 2
+        if len(self._running) >= 0.95 * self._node.service.slots:
+            half_s *= self._node.service.full_slowness
         self._world.loop.call_later(half_s, self._call, exchange, route, half_s)
 
     def cancel(self, exchange) -> None:
--- a/tests/test_graphs.py
+++ b/tests/test_graphs.py
@@ -41,8 +41,8 @@
     def setUpClass(cls):
         set_up_logs("critical", "test")
 
-    def play(self, load, *surges, with_plan=True):
-        world = GraphWorld(SERVICES, routes(load), surges, with_plan=with_plan)
+    def play(self, load, *surges, with_plan=True, services=SERVICES):
+        world = GraphWorld(services, routes(load), surges, with_plan=with_plan)
         return world.play(LENGTH_S), world.routes
 
     def test_a_load_that_fits_is_served(self):
@@ -50,6 +50,12 @@
         for route in result.tallies:
             self.assertGreaterEqual(result.share(route), HIGH_SUCCESS, route)
 
+    def test_an_upstream_that_slows_down_when_full_is_not_filled(self):
+        services = (*SERVICES[:3], GraphService("bench", 19, (1.0,), full_slowness=1.3))
+        result, _ = self.play(1.05, services=services)
+        for route in result.tallies:
+            self.assertGreaterEqual(result.share(route), GOODPUT, route)
+
     def test_more_than_fits_costs_only_the_least_important_route(self):
         result, _ = self.play(1.4)
         for route in ("pay", "order", "view"):
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -8,6 +8,8 @@
 
 from marjoramvalve.mesh.budgets import MOST, RATIO, START, RepeatBudget
 from marjoramvalve.mesh.gates import CAPS_LIFE_S, RootGate
+from marjoramvalve.mesh.knees import ENOUGH, TRIAL_EVERY_S, Knee
+from marjoramvalve.mesh.knees import LIFE_S as KNEE_LIFE_S
 from marjoramvalve.mesh.places import MEMORY_S, Place, RouteMeans, choose
 from marjoramvalve.mesh.routes import RouteTable
 from marjoramvalve.mesh.waiting import FIRST_SERVICE_S, ServiceTimes, WaitingRoom
@@ -90,6 +92,42 @@
         self.assertAlmostEqual(times.of(b"r"), 0.2, places=3)
 
 
+class KneeTests(unittest.TestCase):
+    """Slots left free. Load: an upstream that takes longer with all of its slots in use."""
+
+    IN_TRIAL, AFTER = 10.0, 11.0
+
+    def note(self, knee, seconds, was_full, times=ENOUGH):
+        return any([knee.note(b"r", seconds, was_full, self.IN_TRIAL) for _ in range(times)])
+
+    def test_the_last_slots_are_left_free_but_for_trials(self):
+        knee = Knee()
+        self.assertEqual(knee.limit(19, self.AFTER), 18)
+        self.assertEqual(knee.limit(19, self.IN_TRIAL), 19)
+        self.assertEqual(knee.limit(20, self.AFTER), 18)
+        self.assertEqual(knee.limit(1, self.AFTER), 1)
+        self.assertFalse(knee.is_full(18, 19))
+
+    def test_all_slots_are_used_where_they_do_no_harm(self):
+        knee = Knee()
+        self.note(knee, 0.05, False)
+        self.assertTrue(self.note(knee, 0.052, True))
+        self.assertEqual(knee.limit(19, self.AFTER), 19)
+
+    def test_an_upstream_that_slows_down_is_left_alone_for_a_while(self):
+        knee = Knee()
+        self.note(knee, 0.05, False)
+        self.assertTrue(self.note(knee, 0.065, True))
+        self.assertEqual(knee.limit(19, self.IN_TRIAL + TRIAL_EVERY_S), 18)
+        later = self.IN_TRIAL + KNEE_LIFE_S + TRIAL_EVERY_S
+        self.assertEqual(knee.limit(19, later), 19)
+
+    def test_some_slow_calls_show_nothing(self):
+        knee = Knee()
+        self.note(knee, 0.05, False)
+        self.assertFalse(self.note(knee, 0.5, True, ENOUGH - 1))
+
+
 class PlaceTests(unittest.TestCase):
     """Choice of an ingress. Load: domains of unequal size, slow and failing upstreams."""
 
