--- a/src/marjoramvalve/fleet/messages.py
+++ b/src/marjoramvalve/fleet/messages.py
@@ -55,13 +55,12 @@
 class NodeLoad(msgspec.Struct, frozen=True, array_like=True):
     """Load of a node, told to the leader.
 
-    `offered` and `admitted` count outside calls a second by route. `runs` tells what ran at the
-    upstream beside since the last report, by route; `slots` how many slots it has, and `waiting`
-    how many calls wait there.
+    `offered` counts outside calls a second by route. `runs` tells what ran at the upstream beside
+    since the last report, by route; `slots` how many slots it has, and `waiting` how many calls
+    wait there.
     """
 
     offered: dict[str, float]
-    admitted: dict[str, float]
     runs: dict[str, RouteRuns]
     slots: int
     waiting: int
--- a/src/marjoramvalve/mesh/gates.py
+++ b/src/marjoramvalve/mesh/gates.py
@@ -20,7 +20,6 @@
 @dataclass(slots=True)
 class _Flow:
     offered: int = 0
-    admitted: int = 0
     tokens: float = LEAST_BURST
     at: float = 0.0
 
@@ -55,7 +54,6 @@
             if flow.tokens < 1.0:
                 return RETRY_AFTER_S + RETRY_SPREAD_S * self._rng.random()
             flow.tokens -= 1.0
-        flow.admitted += 1
         return 0.0
 
     def limit_of(self, route: str) -> tuple[float, float]:
@@ -65,13 +63,12 @@
     def give_back(self, route: str) -> None:
         """Takes back what was taken for a call that goes no further."""
         flow = self._flows[route]
-        flow.admitted -= 1
         flow.offered -= 1
         flow.tokens += 1.0
 
-    def take_counts(self) -> dict[str, tuple[int, int]]:
-        """Returns offered and admitted calls by route since the last time."""
-        counts = {name: (item.offered, item.admitted) for name, item in self._flows.items()}
+    def take_counts(self) -> dict[str, int]:
+        """Returns the calls offered by route since the last time."""
+        counts = {name: item.offered for name, item in self._flows.items()}
         for item in self._flows.values():
-            item.offered = item.admitted = 0
+            item.offered = 0
         return counts
--- a/src/marjoramvalve/node/meters.py
+++ b/src/marjoramvalve/node/meters.py
@@ -18,7 +18,6 @@
         self._clock = clock
         self._at = clock()
         self._offered: dict[str, float] = {}
-        self._admitted: dict[str, float] = {}
 
     def take(self) -> NodeLoad:
         """Returns the load since the last time, smoothed."""
@@ -26,15 +25,14 @@
         span_s = max(0.05, now - self._at)
         self._at = now
         counts = self._gate.take_counts()
-        self._smooth(self._offered, {name: item[0] / span_s for name, item in counts.items()})
-        self._smooth(self._admitted, {name: item[1] / span_s for name, item in counts.items()})
+        self._smooth(self._offered, {name: count / span_s for name, count in counts.items()})
         runs = {
             name: RouteRuns(item.count, round(item.seconds, 3), item.calls)
             for name, item in self._ingress.take_runs().items()
         }
         _, waiting = self._ingress.load
         slots = self._ingress.limit if self._ingress.ready else 0
-        return NodeLoad(dict(self._offered), dict(self._admitted), runs, slots, waiting)
+        return NodeLoad(dict(self._offered), runs, slots, waiting)
 
     @staticmethod
     def _smooth(held: dict[str, float], new: dict[str, float]) -> None:
--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -45,8 +45,8 @@
             runs = {route: RouteRuns(10, 10 * cost, {}) for route, cost in costs.items()}
         for _ in range(rounds):
             self.now += ROUND_S + 0.01
-            caller = NodeLoad(offered, offered, {}, 1000, 0)
-            leaf = NodeLoad({}, {}, runs, slots, waiting)
+            caller = NodeLoad(offered, {}, 1000, 0)
+            leaf = NodeLoad({}, runs, slots, waiting)
             self.plan.note("caller", "front", caller, self.now)
             self.plan.note("leaf", "leaf", leaf, self.now)
             caps = self.plan.caps("caller", self.now)
@@ -86,8 +86,8 @@
         offered = {"browse": 100.0}
         self.play(offered, 40, {"browse": 0.3})
         self.plan.begin(self.now)
-        caller = NodeLoad(offered, offered, {}, 1000, 0)
-        half = NodeLoad({}, {}, {}, 0, 0)
+        caller = NodeLoad(offered, {}, 1000, 0)
+        half = NodeLoad({}, {}, 0, 0)
         self.plan.note("caller", "front", caller, self.now + 0.3)
         self.plan.note("leaf", "leaf", half, self.now + 0.3)
         self.assertIsNone(self.plan.caps("caller", self.now + 0.3))
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -299,11 +299,11 @@
         self.clock.now += CAPS_LIFE_S
         self.assertEqual(self.gate.admit("r"), 0)
 
-    def test_counts_tell_offered_and_admitted(self):
+    def test_counts_tell_what_was_offered(self):
         self.gate.set_caps({"r": 0.001})
-        admitted = self.admitted(10, 0.0)
-        self.assertEqual(self.gate.take_counts(), {"r": (10, admitted)})
+        self.admitted(10, 0.0)
+        self.assertEqual(self.gate.take_counts(), {"r": 10})
         self.gate.set_caps({})
         self.gate.admit("r")
         self.gate.give_back("r")
-        self.assertEqual(self.gate.take_counts(), {"r": (0, 0)})
+        self.assertEqual(self.gate.take_counts(), {"r": 0})
