Add up the call graph level by level

Cause, found on reading: the plan followed every way through the graph, eight deep.

Change: one level at a time, with the ways that meet again added up, 25 deep. The test on a chain of twelve fails without it.

--- a/src/marjoramvalve/fleet/plans.py
+++ b/src/marjoramvalve/fleet/plans.py
@@ -23,7 +23,7 @@
 KEPT = 0.3  # Part of the fleet's mean share that each route keeps before ranks decide.
 KEPT_SLOTS = 0.1  # Part of the tightest service's slots up to which a route keeps all its calls.
 MOST_KEPT_SLOTS = 0.4  # Part of a service's slots that all routes together keep in this way.
-MOST_DEPTH = 8  # Calls of calls that are followed; deeper graphs, and loops, end here.
+MOST_DEPTH = 25  # Calls of calls that are followed; loops, and what is deeper, end here.
 LEAST_COST = 1e-4  # Slots x seconds of a call below which a service is not taken as used by it.
 FREE = 0.99  # A route that is given this part of its calls is not limited at all.
 LEAST_SHARE = 0.3  # Share of a node that offers nothing yet, as a part of an even one.
@@ -169,18 +169,26 @@
     def _cost(self, route: str) -> dict[str, float]:
         """Returns the slots x seconds that a call of a route takes at each service, all the way."""
         cost: dict[str, float] = {}
-        self._add_cost(cost, route, 1.0, MOST_DEPTH)
+        level = {route: 1.0}
+        for _ in range(MOST_DEPTH):
+            below: dict[str, float] = {}
+            for name, times in level.items():
+                self._add_run(cost, below, name, times)
+            level = below
         return {service: part for service, part in cost.items() if part > LEAST_COST}
 
-    def _add_cost(self, cost: dict[str, float], route: str, times: float, depth: int) -> None:
+    def _add_run(
+        self, cost: dict[str, float], below: dict[str, float], route: str, times: float
+    ) -> None:
+        """Adds what runs of a route take, and the calls that they make."""
         runs = self._runs.get(route)
-        if runs is None or runs.count <= 0 or not depth:
+        if runs is None or runs.count <= 0:
             return
         mean_s = runs.seconds / runs.count
         for service, part in self._splits[route].items():
             cost[service] = cost.get(service, 0.0) + times * part * mean_s
         for callee, number in runs.calls.items():
-            self._add_cost(cost, callee, times * number / runs.count, depth - 1)
+            below[callee] = below.get(callee, 0.0) + times * number / runs.count
 
     def _solve(self, slots: dict[str, float], costs: dict[str, dict[str, float]]) -> None:
         self._share_out(dict(slots), costs, 0.0)
--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -113,6 +113,26 @@
         }
         self.assertIn("browse", self.play({"browse": 100.0}, 20, {}, runs=runs))
 
+    def test_the_end_of_a_long_chain_counts(self):
+        names = [f"r{number}" for number in range(12)]
+        self.plan.set_document(document(ranks=dict.fromkeys(names, 1), service="leaf"))
+        runs = {
+            name: RouteRuns(10, 0.5, {below: 10})
+            for name, below in zip(names, [*names[1:], "none"], strict=True)
+        }
+        caps = self.play({"r0": 100.0}, 20, {}, runs=runs)
+        self.assertAlmostEqual(caps["r0"], 20 * TARGET / (12 * 0.05), delta=0.5)
+
+    def test_a_deep_graph_with_many_ways_is_counted_in_time(self):
+        names = [f"r{number}" for number in range(24)]
+        self.plan.set_document(document(ranks=dict.fromkeys(names, 1), service="leaf"))
+        runs = {
+            name: RouteRuns(10, 0.1, dict.fromkeys(names[number + 1 :], 10))
+            for number, name in enumerate(names)
+        }
+        caps = self.play({"r0": 100.0}, 20, {}, rounds=2, runs=runs)
+        self.assertLess(caps["r0"], 100.0)
+
     def test_a_cheap_route_is_not_shut_out_by_a_dear_one_of_higher_rank(self):
         offered = {"pay": 400.0, "view": 20.0}
         caps = self.play(offered, 57, {"pay": 0.32, "view": 0.064})
