Leave slots free only where they are few among many

An upstream with three slots kept one of them free, a third of what it can do; the test passed before where it fell into one of the short trials of all slots.

Change: where leaving a slot free would take more than a tenth of all, none is left free. KneeTests fails without it. Upstreams on the users' sites have 19 slots and more, where nothing changes.

--- a/src/marjoramvalve/mesh/knees.py
+++ b/src/marjoramvalve/mesh/knees.py
@@ -6,6 +6,7 @@
 """
 
 EDGE = 0.95  # Part of the slots from which an upstream counts as full.
+LEAST_USED = 0.9  # Where a free slot would be more than a tenth of all, none is left free.
 SLOWER = 1.08  # Calls this much longer lose more than the last twentieth of the slots gives.
 USUAL_SMOOTHING = 0.005  # Weight of a call that found room, in the mean of its route.
 MOST_PART = 3.0  # A single slow call counts as this much longer at most.
@@ -38,7 +39,8 @@
         if uses_all:
             return slots
         most = int(EDGE * slots)
-        return max(1, most - self.is_full(most, slots))
+        most -= self.is_full(most, slots)
+        return most if most >= LEAST_USED * slots else slots
 
     def note(self, route: bytes, service_s: float, was_full: bool, now: float) -> bool:
         """Takes in the service time of a call; True when something has been concluded."""
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -105,7 +105,7 @@
         self.assertEqual(knee.limit(19, self.AFTER), 18)
         self.assertEqual(knee.limit(19, self.IN_TRIAL), 19)
         self.assertEqual(knee.limit(20, self.AFTER), 18)
-        self.assertEqual(knee.limit(1, self.AFTER), 1)
+        self.assertEqual([knee.limit(slots, self.AFTER) for slots in (1, 3, 9)], [1, 3, 9])
         self.assertFalse(knee.is_full(18, 19))
 
     def test_all_slots_are_used_where_they_do_no_harm(self):
