--- a/src/marjoramvalve/fakes/clusters.py
+++ b/src/marjoramvalve/fakes/clusters.py
@@ -178,13 +178,13 @@
         self.check()
         return verdict is ProposalVerdict.TAKEN
 
-    def change(self, name: str, action: str, target: str) -> ProposalVerdict:
-        """Changes the group at a replica."""
+    def change(self, name: str, action: str, target: str, address: str = "") -> ProposalVerdict:
+        """Changes the group at a replica; without an address, the target's name is its address."""
         replica = self.replicas[name]
         now = self.clock(name)
         match action:
             case "add":
-                verdict, _, effects = replica.add_learner(target, target, now)
+                verdict, _, effects = replica.add_learner(target, address or target, now)
             case "promote":
                 verdict, _, effects = replica.promote(target, now)
             case _:
--- a/src/marjoramvalve/fleet/plans.py
+++ b/src/marjoramvalve/fleet/plans.py
@@ -191,21 +191,34 @@
             below[callee] = below.get(callee, 0.0) + times * number / runs.count
 
     def _solve(self, slots: dict[str, float], costs: dict[str, dict[str, float]]) -> None:
-        self._share_out(dict(slots), costs, 0.0)
+        own_rates = self._own_rates(slots, costs)
+        self._share_out(slots, costs, own_rates, 0.0)
         offered = sum(self._offered.values())
         if offered > 0:
-            self._share_out(slots.copy(), costs, KEPT * sum(self._rates.values()) / offered)
+            mean = sum(self._rates.values()) / offered
+            self._share_out(slots, costs, own_rates, KEPT * mean)
+
+    def _own_rates(
+        self, slots: dict[str, float], costs: dict[str, dict[str, float]]
+    ) -> dict[str, float]:
+        """Returns the calls a second that each route keeps whatever the others ask for."""
+        parts = self._kept_parts(costs, slots)
+        return {
+            route: min(rate, _affordable(costs[route], slots, parts))
+            for route, rate in self._offered.items()
+        }
 
     def _share_out(
-        self, left: dict[str, float], costs: dict[str, dict[str, float]], kept: float
+        self,
+        slots: dict[str, float],
+        costs: dict[str, dict[str, float]],
+        own_rates: dict[str, float],
+        kept: float,
     ) -> None:
         """Gives every route a part of its calls first, then the rest by rank."""
+        left = dict(slots)
         self._rates = dict.fromkeys(self._offered, 0.0)
-        parts = self._kept_parts(costs, left)
-        wants = {
-            route: max(rate * kept, min(rate, _affordable(costs[route], left, parts)))
-            for route, rate in self._offered.items()
-        }
+        wants = {route: max(rate * kept, own_rates[route]) for route, rate in self._offered.items()}
         self._give(tuple(self._offered), wants, costs, left)
         for rank in sorted({self._ranks.get(route, 0) for route in self._offered}):
             routes = tuple(route for route in self._offered if self._ranks.get(route, 0) == rank)
--- a/src/marjoramvalve/mesh/egress.py
+++ b/src/marjoramvalve/mesh/egress.py
@@ -270,9 +270,15 @@
             after_s = self._gate.admit(call.target.name)
             if after_s > 0:
                 limit_per_s, age_s = self._gate.limit_of(call.target.name)
-                inputs = {"route": call.target.name, "limit_per_s": limit_per_s}
-                inputs["limit_age_s"] = round(age_s, 2)
-                self._refuse_request(request, Reason.OVERLOAD, 503, after_s, **inputs)
+                self._refuse_request(
+                    request,
+                    Reason.OVERLOAD,
+                    503,
+                    after_s,
+                    route=call.target.name,
+                    limit_per_s=limit_per_s,
+                    limit_age_s=round(age_s, 2),
+                )
                 return
         if call.customer:
             after_s = self._limiter.admit(call.customer)
--- a/tests/test_repairs.py
+++ b/tests/test_repairs.py
@@ -110,18 +110,7 @@
             lambda other: replica.silence(other, now),
         )
         if change is not None:
-            self._make(name, change, now)
-
-    def _make(self, name: str, change: Change, now: float) -> None:
-        replica = self.replicas[name]
-        match change.action:
-            case "add":
-                _, _, effects = replica.add_learner(change.name, change.address, now)
-            case "promote":
-                _, _, effects = replica.promote(change.name, now)
-            case _:
-                _, _, effects = replica.remove(change.name, now)
-        self._carry_out(name, effects)
+            self.change(name, change.action, change.name, change.address)
 
     def is_whole(self) -> bool:
         """Tells whether everybody votes, under the names of today, and has caught up."""
