--- a/src/marjoramvalve/fleet/controllers.py
+++ b/src/marjoramvalve/fleet/controllers.py
@@ -20,6 +20,8 @@
     Envelope,
     Grant,
     Kind,
+    OrderBegin,
+    OrderEnd,
     Report,
     Roster,
     Status,
@@ -28,6 +30,7 @@
     decode,
     encode,
 )
+from marjoramvalve.fleet.orders import OrderDesk
 from marjoramvalve.fleet.plans import LoadPlan
 from marjoramvalve.fleet.repairs import next_change
 from marjoramvalve.fleet.rosters import GONE_AFTER_S, RosterBook
@@ -91,9 +94,11 @@
         self._changed: set[str] = set()
         self._gone: set[str] = set()
         self._desk = TokenDesk()
+        self._orders = OrderDesk(self.group, clock)
         self._plan = LoadPlan()
         self._suspects = SuspectDesk()
         self._pushed = 0
+        self._applied = (False, -1)
         self._task: asyncio.Task | None = None
         self._led = False
         self._knows_all = False
@@ -180,6 +185,10 @@
                 self._on_report(stream, report)
             case Ask(nonce=nonce, wants=wants):
                 self._on_ask(stream, nonce, wants)
+            case OrderBegin(order=order):
+                self._orders.begin(stream, order)
+            case OrderEnd(order=order, answer=answer):
+                self._orders.end(stream, order, answer)
             case UpstreamEnded() as ended if stream in self._nodes:
                 news = self._suspects.note_end(self._nodes[stream], ended, self._clock())
                 self._tell_suspects(news)
@@ -236,10 +245,14 @@
     def _on_change(self) -> None:
         leads = self.group.leads()
         state = self.group.state
+        known, self._applied = self._applied, (leads, state.version)
+        if self._applied == known:
+            return
         if leads or self._led:
             document = state.decoded()
             self._desk.set_document(document, leads, self._clock())
             self._plan.set_document(document)
+            self._orders.set_retention(document.policy.retention_s)
         if state.version > self._pushed:
             self._pushed = state.version
             log.info("config.committed", version=state.version, leads=leads)
@@ -344,6 +357,7 @@
         metrics.set("group_learners", len(replica.members.learners))
         metrics.set("group_leads", float(self.leads()))
         metrics.set("config_version", self.group.state.version)
+        metrics.set("orders_recorded", len(self.group.state.orders))
         metrics.set("nodes_linked", len(self._nodes))
         metrics.set("requests_watched", len(self._suspects.book))
         metrics.set("requests_held", len(self.held_requests()))
--- a/src/marjoramvalve/fleet/groups.py
+++ b/src/marjoramvalve/fleet/groups.py
@@ -24,6 +24,7 @@
 from marjoramvalve.fleet.identities import Identity
 from marjoramvalve.fleet.states import FleetState, Verdict
 from marjoramvalve.fleet.stores import load_replica, store_effect
+from marjoramvalve.once import OrderOutcome
 from marjoramvalve.storage import DataFolder, open_folder
 from marjoramvalve.wire.messages import Members, Message
 
@@ -34,6 +35,8 @@
 SNAPSHOT_ENTRIES = 200  # Documents may be large; a restart reads all that stands behind one.
 DISK_RETRY_S = 0.5
 
+Outcome = Verdict | OrderOutcome
+
 log = structlog.get_logger("group")
 
 
@@ -138,8 +141,8 @@
                 case Send(to=to, address=address, body=body):
                     self._send(to, address, body)
                 case Apply(entry=entry):
-                    verdict = self.state.apply(entry.data)
-                    self._answer(entry.index, entry.term, verdict)
+                    outcome = self.state.apply(entry.data)
+                    self._answer(entry.index, entry.term, outcome)
                     self._on_change()
                     self._compact()
                 case Restore(state=state):
@@ -177,17 +180,18 @@
         self._on_change()
 
     def _compact(self) -> None:
-        if self.replica.applied - self.replica.log.snapshot.index < SNAPSHOT_ENTRIES:
+        most = max(SNAPSHOT_ENTRIES, len(self.state.orders))  # A snapshot costs as much as these.
+        if self.replica.applied - self.replica.log.snapshot.index < most:
             return
         if any(isinstance(item, Apply | Restore) for item in self._effects):
             return  # The state is behind what the replica counts as applied.
         self._effects.extend(self.replica.compact(self.state.save(), self._clock()))
         log.info("group.snapshot", index=self.replica.applied)
 
-    def _answer(self, index: int, term: int, verdict: Verdict) -> None:
+    def _answer(self, index: int, term: int, outcome: Outcome) -> None:
         waiting = self._waiting.pop(index, None)
         if waiting is not None and not waiting[1].done():
-            waiting[1].set_result(verdict if waiting[0] == term else None)
+            waiting[1].set_result(outcome if waiting[0] == term else None)
 
     def _fail_waiting(self) -> None:
         for _, fut in self._waiting.values():
@@ -203,7 +207,7 @@
             return False
         return not any(isinstance(item, Apply | Restore) for item in self._effects)
 
-    async def propose(self, data: bytes, timeout_s: float) -> Verdict | None:
+    async def propose(self, data: bytes, timeout_s: float) -> Outcome | None:
         """Proposes a command; None means that its outcome is unknown."""
         if not self.leads():
             return None
--- a/src/marjoramvalve/fleet/members.py
+++ b/src/marjoramvalve/fleet/members.py
@@ -16,6 +16,7 @@
     Grant,
     Kind,
     NodeLoad,
+    OrderSaid,
     Report,
     Roster,
     RosterEntry,
@@ -25,6 +26,7 @@
     decode,
     encode,
 )
+from marjoramvalve.fleet.orders import OrderAsker
 from marjoramvalve.fleet.states import unpack_document
 from marjoramvalve.fleet.tokens import TokenLots
 from marjoramvalve.model import Document
@@ -75,6 +77,7 @@
         self._on_peers = on_peers
         self.version = 0
         self.lots = TokenLots(clock, self._ask)
+        self.orders = OrderAsker(clock, self._send_to_leader)
         self._dialers: dict[str, Dialer] = {}
         self._rosters: dict[str, dict[str, RosterEntry]] = {}
         self._wanted: dict[str, tuple[str, str, bool]] = {}
@@ -179,6 +182,7 @@
             await asyncio.sleep(TICK_S)
             now = self._clock()
             self.lots.sweep()
+            self.orders.sweep()
             confirmed = self.is_confirmed()
             if confirmed != self._was_confirmed:
                 self._was_confirmed = confirmed
@@ -204,6 +208,8 @@
                 self.lots.on_grant(granted, wait_s)
             case Suspects() as suspects:
                 self.on_suspects(suspects)
+            case OrderSaid() as said:
+                self.orders.on_said(said)
 
     def _on_status(self, dialer: Dialer, status: Status) -> None:
         if status.leads:
@@ -271,10 +277,13 @@
     def _rank(self, name: str) -> bytes:
         return hashlib.blake2b(f"{self.options.name}|{name}".encode(), digest_size=8).digest()
 
-    # Tokens
+    # Questions to the leader
 
-    def _ask(self, wants: dict[str, float]) -> bool:
+    def _send_to_leader(self, kind: Kind, payload: bytes) -> bool:
         if self._leader is None or self._clock() > self._led_at + LEADER_LIFE_S:
             return False
+        return self._leader.send(kind, payload)
+
+    def _ask(self, wants: dict[str, float]) -> bool:
         self._nonce += 1
-        return self._leader.send(Kind.ASK, encode(Ask(self._nonce, wants)))
+        return self._send_to_leader(Kind.ASK, encode(Ask(self._nonce, wants)))
--- a/src/marjoramvalve/fleet/messages.py
+++ b/src/marjoramvalve/fleet/messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from marjoramvalve.once import Order, OrderOutcome
 from marjoramvalve.retries import EndedRun, Suspicion
 from marjoramvalve.wire.messages import (
     Appended,
@@ -31,6 +32,9 @@
     CONSENSUS = 39
     UPSTREAM_ENDED = 40
     SUSPECTS = 41
+    ORDER_BEGIN = 42
+    ORDER_END = 43
+    ORDER_VERDICT = 44
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True):
@@ -143,6 +147,26 @@
     cleared: tuple[bytes, ...] = ()
 
 
+class OrderBegin(msgspec.Struct, frozen=True, array_like=True):
+    """An order that a node wants to start."""
+
+    order: Order
+
+
+class OrderEnd(msgspec.Struct, frozen=True, array_like=True):
+    """The answer of an order; None withdraws one that was never sent."""
+
+    order: Order
+    answer: bytes | None
+
+
+class OrderSaid(msgspec.Struct, frozen=True, array_like=True):
+    """What the leader says to the begin or the end of an order of this owner."""
+
+    owner: bytes
+    outcome: OrderOutcome
+
+
 class ControllerHello(msgspec.Struct, frozen=True, array_like=True):
     """What a controller says of itself: group name, address for links, address for operators."""
 
@@ -175,6 +199,9 @@
     Kind.CONSENSUS: msgspec.msgpack.Decoder(Envelope),
     Kind.UPSTREAM_ENDED: msgspec.msgpack.Decoder(UpstreamEnded),
     Kind.SUSPECTS: msgspec.msgpack.Decoder(Suspects),
+    Kind.ORDER_BEGIN: msgspec.msgpack.Decoder(OrderBegin),
+    Kind.ORDER_END: msgspec.msgpack.Decoder(OrderEnd),
+    Kind.ORDER_VERDICT: msgspec.msgpack.Decoder(OrderSaid),
 }
 
 
--- a/src/marjoramvalve/fleet/states.py
+++ b/src/marjoramvalve/fleet/states.py
@@ -1,4 +1,7 @@
-"""The replicated state: the published document with its version. Applying is deterministic."""
+"""The replicated state: the published document with its version, and the records of orders.
+
+Applying is deterministic.
+"""
 
 import zlib
 from enum import StrEnum
@@ -6,6 +9,7 @@
 import msgspec
 
 from marjoramvalve.model import Document, decode_document
+from marjoramvalve.once import Order, OrderBook, OrderOutcome, OrderRecord
 
 PACK_LEVEL = 6  # zlib's own default: a tenth of the size at a millisecond for a large document.
 
@@ -31,6 +35,38 @@
     source: bytes
 
 
+class BeginOrder(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """Records an order as started. `now` is of the book's time, in seconds."""
+
+    order: Order
+    now: float
+    retention_s: float
+
+
+class FinishOrder(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """Stores the answer of an order."""
+
+    order: Order
+    answer: bytes
+
+
+class WithdrawOrder(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """Takes out an order that was never sent."""
+
+    order: Order
+
+
+OrderCommand = BeginOrder | FinishOrder | WithdrawOrder
+
+ORDER_MARK = b"\xc1"  # Begins no msgpack value: a publication has no tag to be told by.
+_ORDERS = msgspec.msgpack.Decoder(OrderCommand)
+
+
+def pack_order(command: OrderCommand) -> bytes:
+    """Returns a command on an order as an entry of the log."""
+    return ORDER_MARK + msgspec.msgpack.encode(command)
+
+
 def pack(raw: bytes) -> bytes:
     """Returns bytes compressed for the log and the links."""
     return zlib.compress(raw, PACK_LEVEL)
@@ -53,6 +89,8 @@
     document: bytes
     source: bytes
     accepted: dict[bytes, int]
+    orders_now: float = 0.0
+    orders: tuple[OrderRecord, ...] = ()
 
 
 class FleetState:
@@ -62,6 +100,7 @@
         self.version = 0
         self.document = b""
         self.source = b""
+        self.orders = OrderBook()
         self._accepted: dict[bytes, int] = {}
 
     def judge(self, publish_id: bytes, base: int, version: int) -> Verdict | None:
@@ -72,8 +111,10 @@
             return Verdict(VerdictKind.CONFLICT, self.version)
         return None
 
-    def apply(self, data: bytes) -> Verdict:
-        """Applies a committed publication."""
+    def apply(self, data: bytes) -> Verdict | OrderOutcome:
+        """Applies a committed command."""
+        if data.startswith(ORDER_MARK):
+            return self._apply_order(_ORDERS.decode(data[len(ORDER_MARK) :]))
         command = msgspec.msgpack.decode(data, type=Publish)
         verdict = self.judge(command.publish_id, command.base, command.version)
         if verdict is not None:
@@ -84,6 +125,15 @@
         self._accepted[command.publish_id] = command.version
         return Verdict(VerdictKind.ACCEPTED, self.version)
 
+    def _apply_order(self, command: OrderCommand) -> OrderOutcome:
+        match command:
+            case BeginOrder(order=order, now=now, retention_s=retention_s):
+                return self.orders.begin(order, now, retention_s)
+            case FinishOrder(order=order, answer=answer):
+                return self.orders.finish(order, answer)
+            case WithdrawOrder(order=order):
+                return self.orders.withdraw(order)
+
     def decoded(self) -> Document:
         """Returns the document in force."""
         return unpack_document(self.document)
@@ -94,7 +144,14 @@
 
     def save(self) -> bytes:
         """Returns the whole state as bytes."""
-        saved = _Saved(self.version, self.document, self.source, self._accepted)
+        saved = _Saved(
+            self.version,
+            self.document,
+            self.source,
+            self._accepted,
+            self.orders.now,
+            self.orders.records(),
+        )
         return msgspec.msgpack.encode(saved)
 
     def restore(self, raw: bytes) -> None:
@@ -107,3 +164,4 @@
         self.document = saved.document
         self.source = saved.source
         self._accepted = dict(saved.accepted)
+        self.orders = OrderBook(saved.orders_now, saved.orders)
--- a/src/marjoramvalve/h1/callers.py
+++ b/src/marjoramvalve/h1/callers.py
@@ -38,6 +38,7 @@
         "key",
         "method",
         "on_gone",
+        "order_key",
         "output",
         "received_at",
         "should_close",
@@ -53,6 +54,7 @@
         self.key: bytes | None = None
         self.attempt = b""
         self.deadline_ms: int | None = None
+        self.order_key = b""
         self.head = b""
         self.body = b""
         self.should_close = False
@@ -185,6 +187,9 @@
                 self._lines.append(b"Host: %b\r\n" % value)
             case "connection":
                 self._dropped = {part.strip().lower() for part in value.split(b",")}
+            case "order":
+                request.order_key = value
+                self._lines.append(b"Idempotency-Key: %b\r\n" % value)
             case "expect":
                 if value.lower() == b"100-continue" and not self._waiting:
                     self._transport.write(CONTINUE)
@@ -311,6 +316,7 @@
         lowered = names.lowered()
         self.read_headers = {lowered[field]: field for field in ("attempt", "deadline", "key")}
         self.read_headers |= {b"host": "host", b"connection": "connection", b"expect": "expect"}
+        self.read_headers[b"idempotency-key"] = "order"
         self.own_headers = {lowered[field] for field in ("customer", "caller", "expect")}
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.TimerHandle | None = None
--- a/src/marjoramvalve/mesh/calls.py
+++ b/src/marjoramvalve/mesh/calls.py
@@ -4,6 +4,7 @@
 
 from marjoramvalve.h1 import IncomingRequest
 from marjoramvalve.mesh.routes import Target
+from marjoramvalve.once import Order
 
 if TYPE_CHECKING:
     from marjoramvalve.mesh.peers import Peer
@@ -14,7 +15,7 @@
 
     `runs` counts the upstreams that may have run it, `tries` the ingress nodes that were asked.
     `began` is when the outside call that caused this one came in; `is_repeat` tells that this
-    call, or one above it, has been sent before.
+    call, or one above it, has been sent before. `order` is set where it runs once in the fleet.
     """
 
     __slots__ = (
@@ -30,6 +31,7 @@
         "is_repeat",
         "is_sub_call",
         "maybe_ran",
+        "order",
         "peer",
         "rank",
         "repeatable",
@@ -62,6 +64,7 @@
         self.began = request.received_at
         self.customer = ""
         self.service = ""
+        self.order: Order | None = None
         self.peer: Peer | None = None
         self.sent_at = 0.0
         self.tried: set[Peer] = set()
--- a/src/marjoramvalve/mesh/egress.py
+++ b/src/marjoramvalve/mesh/egress.py
@@ -14,18 +14,20 @@
 from marjoramvalve.mesh.frames import Hello, Why
 from marjoramvalve.mesh.ingress import Ingress
 from marjoramvalve.mesh.jobs import Job
-from marjoramvalve.mesh.limiters import Gate, Limiter
+from marjoramvalve.mesh.limiters import Gate, Limiter, OrderKeeper
+from marjoramvalve.mesh.orders import Orders, refusal_of
 from marjoramvalve.mesh.peers import FarPeer, OwnPeer, Peer
+from marjoramvalve.mesh.peersets import PeerSet
 from marjoramvalve.mesh.places import RouteMeans, choose
 from marjoramvalve.mesh.quarantines import Quarantine
 from marjoramvalve.mesh.routes import RouteTable
 from marjoramvalve.mesh.timers import Deadlines
 from marjoramvalve.mesh.waiting import ROOT_BIT, order_of
+from marjoramvalve.once import OrderOutcome, OrderVerdict
 from marjoramvalve.outcomes import Reason, Run
 from marjoramvalve.retries import Standing
 from marjoramvalve.telemetry import Exposition
 
-CHECK_S = 0.1  # How often links with calls under way are looked at.
 MAX_TRIES = 4  # Ingress nodes asked for one call before it is refused.
 DEFAULT_DEADLINE_MS = 30_000  # For callers that name none.
 NO_UPSTREAM_AFTER_S = 0.3  # About the time in which another upstream is found.
@@ -50,10 +52,10 @@
         deadlines: Deadlines,
         rng: random.Random,
         quarantine: Quarantine,
+        keeper: OrderKeeper,
     ) -> None:
         self._quarantine = quarantine
         self._loop = asyncio.get_running_loop()
-        self._hello = hello
         self._ingress = ingress
         self._limiter = limiter
         self._gate = gate
@@ -64,11 +66,9 @@
         self._attempt_name = names.attempt.encode()
         self._caller_line = f"{names.caller}: {service}\r\n".encode()
         self._customer_name = names.customer.encode()
-        self._own = OwnPeer(hello.name, service, ingress, self)
-        self._far: dict[str, FarPeer] = {}
-        self._retired: dict[str, FarPeer] = {}
-        self._by_service: dict[str, list[Peer]] = {service: [self._own]}
-        self._checker: asyncio.TimerHandle | None = None
+        own = OwnPeer(hello.name, service, ingress, self)
+        self.peers = PeerSet(hello, own, self, self._move_calls)
+        self._orders = Orders(keeper, hello.session, service, self._attempt_name)
         self.table: RouteTable | None = None
         self.is_confirmed: Callable[[], bool] = lambda: False
         self.under_way = 0
@@ -79,69 +79,11 @@
 
     def set_peers(self, wanted: dict[str, tuple[str, str, bool]]) -> None:
         """Keeps links to the ingress nodes at these addresses: name, service and nearness each."""
-        for address, peer in list(self._far.items()):
-            found = wanted.get(address)
-            peer.listed = found is not None
-            is_other = found is not None and found[:2] != (peer.name, peer.service)
-            if is_other or not (peer.listed or peer.usable):
-                del self._far[address]
-                self._retire(peer)
-        for address, (name, service, near) in wanted.items():
-            if address in self._far:
-                continue
-            peer = self._retired.get(address)
-            if peer is not None and (peer.name, peer.service) == (name, service):
-                del self._retired[address]
-            else:
-                if peer is not None:  # A session has one link at a time.
-                    del self._retired[address]
-                    peer.close()
-                peer = FarPeer(name, service, address, near, self._hello, self)
-                peer.start()
-            self._far[address] = peer
-        self._list_services()
-
-    def _list_services(self) -> None:
-        self._by_service = {}
-        for peer in (self._own, *self._far.values()):
-            self._by_service.setdefault(peer.service, []).append(peer)
+        self.peers.set_wanted(wanted)
 
     def peer_lost(self, peer: FarPeer) -> None:
-        """Lets go of a node whose link is lost and that is no longer named.
-
-        While the link stands, it is better proof of the node than a roster.
-        """
-        if not peer.listed and self._far.get(peer.address) is peer:
-            del self._far[peer.address]
-            self._retire(peer)
-            self._list_services()
-
-    def _retire(self, peer: FarPeer) -> None:
-        """Keeps the link to a node that is no longer named until its calls have ended."""
-        if peer.calls:
-            self._retired[peer.address] = peer
-            self._arm_check()
-        else:
-            peer.close()
-
-    def _check(self) -> None:
-        self._checker = None
-        now = self._loop.time()
-        waiting = False
-        for address, peer in list(self._retired.items()):
-            if not peer.calls:
-                del self._retired[address]
-                peer.close()
-        for peer in (*self._far.values(), *self._retired.values()):
-            if peer.calls:
-                waiting = True
-                peer.check(now, self._move_calls)
-        if waiting:
-            self._arm_check()
-
-    def _arm_check(self) -> None:
-        if self._checker is None:
-            self._checker = self._loop.call_later(CHECK_S, self._check)
+        """Lets go of a node that is no longer named."""
+        self.peers.lose(peer)
 
     def _move_calls(self, peer: FarPeer) -> None:
         """Sends what may be repeated elsewhere while a link says nothing."""
@@ -149,7 +91,7 @@
             if call.repeatable and call.runs + 1 < call.target.attempts:
                 if (
                     not self._may_send_again(call)
-                    or not self._has_other(call, peer)
+                    or not self.peers.has_other(call, peer)
                     or not self._budget.take(call.service)
                 ):
                     continue
@@ -161,16 +103,9 @@
                 call.is_repeat = True
                 self._dispatch(call)
 
-    def _has_other(self, call: Call, peer: Peer) -> bool:
-        others = self._by_service.get(call.service, ())
-        return any(item is not peer and item not in call.tried and item.usable for item in others)
-
     def close(self) -> None:
         """Ends the links."""
-        if self._checker is not None:
-            self._checker.cancel()
-        for peer in (*self._far.values(), *self._retired.values()):
-            peer.close()
+        self.peers.close()
 
     # Decisions
 
@@ -196,8 +131,13 @@
             deadline_ms = DEFAULT_DEADLINE_MS
         call.deadline = request.received_at + min(deadline_ms / 1000, target.deadline_s)
         call.timely = min(call.deadline, request.received_at + target.objective_s)
-        if self._identify(call, table):
-            self._admit(call)
+        if not self._identify(call, table):
+            return
+        problem = self._orders.identify(call)
+        if problem is not None:
+            self._refuse_request(request, Reason.BAD_REQUEST, 400, 0.0, key=problem.text)
+            return
+        self._admit(call)
 
     def _identify(self, call: Call, table: RouteTable) -> bool:
         """Finds out for whom a call is; False once it is refused."""
@@ -338,13 +278,34 @@
             self._budget.charge(call.service)
         else:
             self._budget.first(call.service)
-        self._dispatch(call)
+        if call.order is None:
+            self._dispatch(call)
+        else:
+            self._orders.begin(call, self._on_order)
+
+    def _on_order(self, call: Call, outcome: OrderOutcome) -> None:
+        """Sends an order that is on record as started, or tells its caller what is known of it."""
+        if outcome.verdict is OrderVerdict.STARTED:
+            if self._is_key_in_force(call):
+                self._dispatch(call)
+            else:
+                self._refuse(call, Reason.STALE_CONFIG, NO_CONFIG_AFTER_S, "key is not in force")
+            return
+        if call.customer:
+            self._limiter.give_back(call.customer)
+        self._end(call)
+        stored = self._orders.read_answer(call, outcome)
+        if stored is not None:
+            call.request.respond(stored.status, stored.head, stored.body)
+            return
+        reason, status, run, after_s = refusal_of(outcome)
+        self._answers.give(call.request, reason, status, after_s, run)
 
     # Sending
 
     def _dispatch(self, call: Call) -> None:
         now = self._loop.time()
-        peers = self._by_service.get(call.service, ())
+        peers = self.peers.of(call.service)
         usable = [(p, p.place) for p in peers if p not in call.tried and p.usable]
         peer = choose(usable, self._means.of(call.target.name), now)
         if peer is None:
@@ -357,8 +318,8 @@
         call.tries += 1
         call.sent_at = now
         peer.send(call)
-        if peer is not self._own:
-            self._arm_check()
+        if peer is not self.peers.own:
+            self.peers.watch()
 
     def call_answered(
         self, peer: Peer, call: Call, status: int, head: bytes, body: bytes, service_s: float
@@ -387,6 +348,7 @@
             self._fail(call, Reason.UPSTREAM_FAILED, 502, detail)
             return
         self._end(call)
+        self._orders.finish(call, status, head, body)
         if failed:
             self.metrics.add("upstream_errors", call.service)
             log.info("call.upstream_error", request=call.attempt, peer=peer.name, status=status)
@@ -400,7 +362,7 @@
             and self._means.failures(call.target.name) < SYSTEMIC
             and self._loop.time() < call.timely
             and self._may_send_again(call)
-            and self._has_other(call, peer)
+            and self.peers.has_other(call, peer)
             and self._budget.take(call.service)
         )
 
@@ -416,7 +378,7 @@
             self._refuse(call, Reason.OVERLOAD, after_s, why.name)
         elif arrived and not self._budget.take(call.service):
             self._refuse(call, Reason.OVERLOAD, after_s, "repeat budget is spent")
-        elif not self._has_other(call, peer):
+        elif not self.peers.has_other(call, peer):
             reason = Reason.OVERLOAD if why in (Why.BUSY, Why.SHED) else Reason.NO_UPSTREAM
             self._refuse(call, reason, after_s, why.name)
         elif not self._is_key_in_force(call):
@@ -454,14 +416,18 @@
     def _expire(self, call: Call) -> None:
         if call.done:
             return
-        if call.peer is not None:
-            call.peer.cancel(call, not call.repeatable)
+        if call.peer is None:
+            self._refuse(call, Reason.NO_KEEPER, NO_UPSTREAM_AFTER_S, "order is not on record")
+            return
+        call.peer.cancel(call, not call.repeatable)
         self._fail(call, Reason.DEADLINE, 504, "time is up")
 
     def _gone(self, call: Call) -> None:
         """Stops the work for a caller that has left; what may not be repeated runs to its end."""
         if call.done:
             return
+        if call.order is not None and call.peer is not None:
+            return  # Its answer is kept for when the caller sends it again.
         call.done = True
         if call.peer is None:
             return
@@ -479,7 +445,8 @@
             self._fail(call, Reason.UPSTREAM_FAILED, 502, detail)
             return
         self._end(call)
-        if call.customer and not call.maybe_ran:
+        self._orders.withdraw(call)
+        if call.customer:
             self._limiter.give_back(call.customer)
         self._answers.log_call("call.refused", call, reason, detail, self.table.version)
         self._answers.give(call.request, reason, 503, after_s, Run.NOT_RUN)
--- a/src/marjoramvalve/mesh/limiters.py
+++ b/src/marjoramvalve/mesh/limiters.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from marjoramvalve.once import Order, OrderOutcome
+
 
 class Limiter(Protocol):
     """Fleet-wide rates of customers."""
@@ -28,3 +30,16 @@
 
     def give_back(self, route: str) -> None:
         """Takes back what was taken for a call that goes no further."""
+
+
+class OrderKeeper(Protocol):
+    """Fleet-wide records of orders under an idempotency key."""
+
+    def begin(self, order: Order, on_outcome: Callable[[OrderOutcome], None]) -> None:
+        """Calls `on_outcome` once with what is known of an order; at once or later."""
+
+    def finish(self, order: Order, answer: bytes) -> None:
+        """Lets the answer of an order be recorded."""
+
+    def withdraw(self, order: Order) -> None:
+        """Lets an order be taken out that was not sent and never will be."""
--- a/src/marjoramvalve/mesh/nodes.py
+++ b/src/marjoramvalve/mesh/nodes.py
@@ -12,7 +12,7 @@
 from marjoramvalve.mesh.egress import Egress
 from marjoramvalve.mesh.frames import Hello
 from marjoramvalve.mesh.ingress import Ingress
-from marjoramvalve.mesh.limiters import Gate, Limiter
+from marjoramvalve.mesh.limiters import Gate, Limiter, OrderKeeper
 from marjoramvalve.mesh.quarantines import Quarantine
 from marjoramvalve.mesh.routes import RouteTable
 from marjoramvalve.mesh.sessions import IngressServer
@@ -47,7 +47,12 @@
     """One instance's part in the way of calls."""
 
     def __init__(
-        self, options: MeshOptions, limiter: Limiter, gate: Gate, rng: random.Random
+        self,
+        options: MeshOptions,
+        limiter: Limiter,
+        gate: Gate,
+        keeper: OrderKeeper,
+        rng: random.Random,
     ) -> None:
         loop = asyncio.get_running_loop()
         self.options = options
@@ -67,6 +72,7 @@
             deadlines,
             rng,
             self.quarantine,
+            keeper,
         )
         self.sessions = IngressServer(self.ingress, options.service, self.incarnation)
         self.ingress.on_change = self.sessions.tell
--- /dev/null
+++ b/src/marjoramvalve/mesh/peersets.py
@@ -0,0 +1,116 @@
+"""The ingress nodes that an egress may send to, and the state of the links to them."""
+
+import asyncio
+from collections.abc import Callable
+
+from marjoramvalve.mesh.calls import Call
+from marjoramvalve.mesh.frames import Hello
+from marjoramvalve.mesh.peers import FarPeer, OwnPeer, Peer, PeerOwner
+
+CHECK_S = 0.1  # How often links with calls under way are looked at.
+
+
+class PeerSet:
+    """The own ingress and links to others. `on_quiet` is told of a link that says nothing."""
+
+    def __init__(
+        self, hello: Hello, own: OwnPeer, owner: PeerOwner, on_quiet: Callable[[FarPeer], None]
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._hello = hello
+        self._owner = owner
+        self._on_quiet = on_quiet
+        self.own = own
+        self.far: dict[str, FarPeer] = {}
+        self._retired: dict[str, FarPeer] = {}
+        self._by_service: dict[str, list[Peer]] = {own.service: [own]}
+        self._checker: asyncio.TimerHandle | None = None
+
+    def of(self, service: str) -> list[Peer]:
+        """Returns the ingress nodes of a service, usable or not."""
+        return self._by_service.get(service, [])
+
+    def has_other(self, call: Call, peer: Peer) -> bool:
+        """Tells whether a call could go to another ingress than this one."""
+        return any(
+            item is not peer and item not in call.tried and item.usable
+            for item in self.of(call.service)
+        )
+
+    def set_wanted(self, wanted: dict[str, tuple[str, str, bool]]) -> None:
+        """Keeps links to the ingress nodes at these addresses: name, service and nearness each."""
+        for address, peer in list(self.far.items()):
+            found = wanted.get(address)
+            peer.listed = found is not None
+            is_other = found is not None and found[:2] != (peer.name, peer.service)
+            if is_other or not (peer.listed or peer.usable):
+                del self.far[address]
+                self._retire(peer)
+        for address, (name, service, near) in wanted.items():
+            if address in self.far:
+                continue
+            peer = self._retired.get(address)
+            if peer is not None and (peer.name, peer.service) == (name, service):
+                del self._retired[address]
+            else:
+                if peer is not None:  # A session has one link at a time.
+                    del self._retired[address]
+                    peer.close()
+                peer = FarPeer(name, service, address, near, self._hello, self._owner)
+                peer.start()
+            self.far[address] = peer
+        self._list_services()
+
+    def _list_services(self) -> None:
+        self.hold([self.own, *self.far.values()])
+
+    def hold(self, peers: list[Peer]) -> None:
+        """Sends to exactly these from now on."""
+        self._by_service = {}
+        for peer in peers:
+            self._by_service.setdefault(peer.service, []).append(peer)
+
+    def lose(self, peer: FarPeer) -> None:
+        """Lets go of a node whose link is lost and that is no longer named.
+
+        While the link stands, it is better proof of the node than a roster.
+        """
+        if not peer.listed and self.far.get(peer.address) is peer:
+            del self.far[peer.address]
+            self._retire(peer)
+            self._list_services()
+
+    def _retire(self, peer: FarPeer) -> None:
+        """Keeps the link to a node that is no longer named until its calls have ended."""
+        if peer.calls:
+            self._retired[peer.address] = peer
+            self.watch()
+        else:
+            peer.close()
+
+    def _check(self) -> None:
+        self._checker = None
+        now = self._loop.time()
+        waiting = False
+        for address, peer in list(self._retired.items()):
+            if not peer.calls:
+                del self._retired[address]
+                peer.close()
+        for peer in (*self.far.values(), *self._retired.values()):
+            if peer.calls:
+                waiting = True
+                peer.check(now, self._on_quiet)
+        if waiting:
+            self.watch()
+
+    def watch(self) -> None:
+        """Looks at links with calls under way, from time to time."""
+        if self._checker is None:
+            self._checker = self._loop.call_later(CHECK_S, self._check)
+
+    def close(self) -> None:
+        """Ends the links."""
+        if self._checker is not None:
+            self._checker.cancel()
+        for peer in (*self.far.values(), *self._retired.values()):
+            peer.close()
--- a/src/marjoramvalve/once/__init__.py
+++ b/src/marjoramvalve/once/__init__.py
@@ -1,16 +1,37 @@
-"""At most once: idempotency records at two keepers, and their copies when placement changes."""
+"""At most once: idempotency records, kept by the controllers or by keepers of the direct way."""
 
+from marjoramvalve.once.books import (
+    LARGEST_ANSWER_BYTES,
+    Order,
+    OrderBook,
+    OrderOutcome,
+    OrderRecord,
+    OrderVerdict,
+)
 from marjoramvalve.once.handovers import HandOverState
 from marjoramvalve.once.keepers import Keeper, KeeperVerdict, done_record
-from marjoramvalve.once.keys import IdempotencyKey, KeyProblem, parse_key, request_digest
+from marjoramvalve.once.keys import (
+    IdempotencyKey,
+    KeyProblem,
+    parse_key,
+    request_digest,
+    scope_digest,
+)
 
 __all__ = [
+    "LARGEST_ANSWER_BYTES",
     "HandOverState",
     "IdempotencyKey",
     "Keeper",
     "KeeperVerdict",
     "KeyProblem",
+    "Order",
+    "OrderBook",
+    "OrderOutcome",
+    "OrderRecord",
+    "OrderVerdict",
     "done_record",
     "parse_key",
     "request_digest",
+    "scope_digest",
 ]
--- a/src/marjoramvalve/once/keys.py
+++ b/src/marjoramvalve/once/keys.py
@@ -39,8 +39,17 @@
 
 def request_digest(method: str, path: str, body: bytes) -> str:
     """Returns a digest by which a resend is told from another request under the same key."""
+    return _digest(method.encode(), path.encode(), body).hexdigest()
+
+
+def scope_digest(holder: str, route: str, key: str) -> bytes:
+    """Returns a digest of what an idempotency key counts for: its holder, on one route."""
+    return _digest(holder.encode(), route.encode(), key.encode()).digest()
+
+
+def _digest(*parts: bytes) -> "hashlib.blake2b":
     hashed = hashlib.blake2b(digest_size=16)
-    for part in (method.encode(), path.encode(), body):
+    for part in parts:
         hashed.update(len(part).to_bytes(8, "big"))
         hashed.update(part)
-    return hashed.hexdigest()
+    return hashed
--- a/src/marjoramvalve/scenario/graphs.py
+++ b/src/marjoramvalve/scenario/graphs.py
@@ -165,10 +165,9 @@
 
     def join(self, nodes: list["_Node"]) -> None:
         """Knows every ingress."""
-        self._by_service = {}
-        for node in nodes:
-            peer = OwnPeer(node.name, node.service.name, node.ingress, self)
-            self._by_service.setdefault(node.service.name, []).append(peer)
+        self.peers.hold(
+            [OwnPeer(node.name, node.service.name, node.ingress, self) for node in nodes]
+        )
 
 
 class _CountingIngress(Ingress):
@@ -194,6 +193,10 @@
         """Nothing was taken."""
 
 
+class _NoOrders:
+    """Nobody gives an idempotency key here."""
+
+
 class _Node:
     """One instance."""
 
@@ -221,6 +224,7 @@
             deadlines,
             world.rng,
             self.quarantine,
+            _NoOrders(),
         )
         self.egress.is_confirmed = lambda: True
         self.meter = LoadMeter(self.ingress, self.gate, loop.time)
--- a/tests/meshes.py
+++ b/tests/meshes.py
@@ -12,6 +12,7 @@
 from marjoramvalve.links import split_address
 from marjoramvalve.mesh import MeshNode, MeshOptions, RootGate, UpstreamState
 from marjoramvalve.model import key_digest, validate_document
+from marjoramvalve.once import OrderBook
 from marjoramvalve.telemetry import set_up_logs
 
 KEY = b"secret"
@@ -31,6 +32,28 @@
         pass
 
 
+class Orders:
+    """Records of orders, as a group of controllers keeps them, without the group."""
+
+    def __init__(self) -> None:
+        self.book = OrderBook()
+        self.is_reachable = True
+        self.late: list = []
+
+    def begin(self, order, on_outcome):
+        if self.is_reachable:
+            outcome = self.book.begin(order, 0.0, 60.0)
+            asyncio.get_running_loop().call_soon(on_outcome, outcome)
+        else:
+            self.late.append((order, on_outcome))
+
+    def finish(self, order, answer):
+        self.book.finish(order, answer)
+
+    def withdraw(self, order):
+        self.book.withdraw(order)
+
+
 class Upstream:
     """Answers each request by a coroutine function of the request's text and a writer."""
 
@@ -174,6 +197,7 @@
         set_up_logs("critical", "test")
         self.runner = asyncio.Runner(loop_factory=uvloop.new_event_loop)
         self.nodes: list[MeshNode] = []
+        self.orders = Orders()
         self.upstreams: list[Upstream] = []
 
     def run(self, coro):
@@ -194,7 +218,8 @@
             name, "d", service, free_address(), free_address(), upstream.address, 2.0, 0.1
         )
         gate = RootGate(asyncio.get_running_loop().time, random.Random(1))
-        node = MeshNode(options, OpenLimiter(), gate, random.Random(len(self.nodes)))
+        rng = random.Random(len(self.nodes))
+        node = MeshNode(options, OpenLimiter(), gate, self.orders, rng)
         node.egress.is_confirmed = lambda: True
         await node.start()
         node.apply_config(1, doc or document())
@@ -218,7 +243,7 @@
                     for other in others
                 }
             )
-            far = node.egress._far.values()
+            far = node.egress.peers.far.values()
             while not all(peer._welcome for peer in far):
                 await asyncio.sleep(0.005)
 
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -340,10 +340,10 @@
     return None
 
 
-async def ask(number, path, attempt, key="k1", deadline_ms=3000):
+async def ask(number, path, attempt, key="k1", deadline_ms=3000, extra=""):
     """Asks a node as a caller does; returns status, head and body."""
     headers = f"X-Attempt-Id: {attempt}\r\nX-Deadline-Ms: {deadline_ms}\r\nX-Credential: {key}\r\n"
-    return await http(number, CALLERS, "GET", path, headers=headers)
+    return await http(number, CALLERS, "GET", path, headers=headers + extra)
 
 
 async def ready(number) -> int:
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -237,7 +237,7 @@
             caller = await self.pair(fails)
             second = await self.bench.add(sheds, slots=1)
             await self.bench.connect()
-            for peer in self.bench.nodes[0].egress._far.values():
+            for peer in self.bench.nodes[0].egress.peers.far.values():
                 if peer.name == second.options.name:
                     peer.place.slowness, peer.place.noted_at = 9.0, 1e9
             return await caller.ask("/read/", "a1")
@@ -374,7 +374,7 @@
             caller = await self.pair(slow)
             caller.send("/order/", "a1")
             await asyncio.sleep(0.05)
-            for peer in self.bench.nodes[0].egress._far.values():
+            for peer in self.bench.nodes[0].egress.peers.far.values():
                 peer._stream.abort()
             return (await caller.answer())[0]
 
@@ -388,7 +388,7 @@
 
         async def play():
             caller = await self.pair(slow)
-            (peer,) = self.bench.nodes[0].egress._far.values()
+            (peer,) = self.bench.nodes[0].egress.peers.far.values()
             caller.send("/order/", "a1")
             await asyncio.sleep(0.02)
             address, peer.address = peer.address, "127.0.0.1:1"
@@ -403,7 +403,7 @@
     def test_a_call_that_never_came_goes_elsewhere_whatever_it_is(self):
         async def play():
             caller = await self.pair(answer_at_once)
-            (peer,) = self.bench.nodes[0].egress._far.values()
+            (peer,) = self.bench.nodes[0].egress.peers.far.values()
             session = peer._stream
             session.send = lambda kind, payload: None
             caller.send("/order/", "a1")
@@ -428,7 +428,7 @@
             sessions = self.bench.nodes[1].sessions
             sessions.incarnation += 1
             sessions._sessions.clear()
-            for peer in self.bench.nodes[0].egress._far.values():
+            for peer in self.bench.nodes[0].egress.peers.far.values():
                 peer._stream.abort()
             return (await caller.answer())[0]
 
@@ -439,7 +439,7 @@
             caller = await self.pair(answer_at_once)
             await self.bench.add(answer_at_once)
             await self.bench.connect()
-            for peer in self.bench.nodes[0].egress._far.values():
+            for peer in self.bench.nodes[0].egress.peers.far.values():
                 if peer.name == "n1":
                     peer._stream.send = lambda kind, payload: None
                 else:
@@ -486,7 +486,7 @@
             await self.bench.connect()
             for _ in range(20):
                 self.bench.nodes[0].egress._budget.first("s")
-            (peer,) = [p for p in self.bench.nodes[0].egress._far.values() if p.calls]
+            (peer,) = [p for p in self.bench.nodes[0].egress.peers.far.values() if p.calls]
             self.bench.nodes[0].egress._move_calls(peer)
             return (await caller.answer())[0]
 
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,347 @@
+"""Orders under an idempotency key on the two hops: records, their replication, and the callers."""
+
+import asyncio
+import random
+import unittest
+import unittest.mock
+
+from marjoramvalve.fleet.messages import Kind, OrderSaid, decode
+from marjoramvalve.fleet.orders import ASK_EVERY_S, BEGIN_S, MOST_ASKED, OrderAsker
+from marjoramvalve.fleet.states import (
+    BeginOrder,
+    FinishOrder,
+    FleetState,
+    WithdrawOrder,
+    pack_order,
+)
+from marjoramvalve.once import (
+    LARGEST_ANSWER_BYTES,
+    Order,
+    OrderBook,
+    OrderOutcome,
+    OrderVerdict,
+)
+from tests.meshes import ATTEMPT, answer_after, answer_at_once, field, ok
+from tests.test_mesh import MeshTestCase
+
+RETENTION_S = 60.0
+KEY = 'Idempotency-Key: "order-7"\r\n'
+POST = {"method": "POST", "body": "planks", "extra": KEY}
+
+
+def order(owner: bytes, scope: bytes = b"s", digest: bytes = b"d") -> Order:
+    return Order(scope, digest, owner)
+
+
+class OrderBookTests(unittest.TestCase):
+    """What one record allows."""
+
+    def setUp(self):
+        self.book = OrderBook()
+
+    def begin(self, owner, now=0.0, **parts):
+        return self.book.begin(order(owner, **parts), now, RETENTION_S).verdict
+
+    def test_the_first_one_starts_and_others_wait(self):
+        self.assertIs(self.begin(b"a"), OrderVerdict.STARTED)
+        self.assertIs(self.begin(b"a"), OrderVerdict.STARTED)
+        self.assertIs(self.begin(b"b"), OrderVerdict.RUNNING)
+        self.assertIs(self.begin(b"b", digest=b"other"), OrderVerdict.REUSED)
+
+    def test_the_answer_is_given_again(self):
+        self.begin(b"a")
+        self.book.finish(order(b"a"), b"receipt")
+        found = self.book.begin(order(b"b"), 0.0, RETENTION_S)
+        self.assertEqual(found, OrderOutcome(OrderVerdict.DONE, b"receipt"))
+
+    def test_only_its_owner_ends_an_order(self):
+        self.begin(b"a")
+        self.book.withdraw(order(b"b"))
+        self.book.finish(order(b"b"), b"wrong")
+        self.assertIs(self.begin(b"c"), OrderVerdict.RUNNING)
+        self.book.withdraw(order(b"a"))
+        self.assertIs(self.begin(b"c"), OrderVerdict.STARTED)
+
+    def test_what_is_done_stays_done(self):
+        self.begin(b"a")
+        self.book.finish(order(b"a"), b"receipt")
+        self.book.withdraw(order(b"a"))
+        self.book.finish(order(b"a"), b"another")
+        found = self.book.begin(order(b"b"), 0.0, RETENTION_S)
+        self.assertEqual(found, OrderOutcome(OrderVerdict.DONE, b"receipt"))
+
+    def test_records_outlive_the_retention_only(self):
+        self.begin(b"a")
+        self.assertIs(self.begin(b"b", RETENTION_S - 1), OrderVerdict.RUNNING)
+        self.assertIs(self.begin(b"b", RETENTION_S), OrderVerdict.STARTED)
+
+    def test_time_does_not_go_back(self):
+        self.begin(b"a", 10.0)
+        self.begin(b"x", 0.0, scope=b"t")
+        self.assertIs(self.begin(b"y", 10.0 + RETENTION_S - 1, scope=b"t"), OrderVerdict.RUNNING)
+
+    def test_large_answers_are_not_kept_and_the_order_stays_done(self):
+        self.begin(b"a")
+        self.book.finish(order(b"a"), bytes(LARGEST_ANSWER_BYTES + 1))
+        found = self.book.begin(order(b"b"), 0.0, RETENTION_S)
+        self.assertEqual(found, OrderOutcome(OrderVerdict.DONE))
+
+    def test_a_full_book_starts_nothing_and_forgets_nothing(self):
+        book = OrderBook(0.0, ())
+        with unittest.mock.patch("marjoramvalve.once.books.MOST_RECORDS", 2):
+            for scope in (b"1", b"2"):
+                book.begin(order(b"a", scope), 0.0, RETENTION_S)
+            third = book.begin(order(b"a", b"3"), 0.0, RETENTION_S)
+            first = book.begin(order(b"b", b"1"), 0.0, RETENTION_S)
+        self.assertEqual((third.verdict, first.verdict), (OrderVerdict.FULL, OrderVerdict.RUNNING))
+
+
+class ForgetsOwners(OrderBook):
+    """A guard taken away: anybody may withdraw an order."""
+
+    @staticmethod
+    def _is_running(known, order):
+        return known is not None and not known.done
+
+
+class StartsAnew(OrderBook):
+    """A guard taken away: a record that is started does not hold others back."""
+
+    def look_up(self, order):
+        found = super().look_up(order)
+        return None if found and found.verdict is OrderVerdict.RUNNING else found
+
+
+def play_history(seed: int, book_class=OrderBook) -> int:
+    """Returns the most runs of one order, over attempts whose messages are lost, late and repeated.
+
+    An attempt runs once it has been told that it may start, however late that is, unless it has
+    given up before; then it withdraws. Now and then the state goes through a snapshot.
+    """
+    rng = random.Random(seed)
+    state = FleetState()
+    state.orders = book_class()
+    runs: dict[bytes, int] = {}
+    given_up: set[Order] = set()
+    sent: list[tuple[Order, bytes]] = []
+    attempts = [
+        Order(b"%d" % rng.randrange(3), b"d", b"%d" % number) for number in range(rng.randrange(30))
+    ]
+    for item in attempts:
+        sent += [(item, pack_order(BeginOrder(item, 0.0, RETENTION_S)))] * rng.randrange(1, 3)
+    while sent:
+        item, data = sent.pop(rng.randrange(len(sent)))
+        outcome = state.apply(data)
+        if rng.random() < 0.1:
+            saved = state.save()
+            state = FleetState()
+            state.restore(saved)
+            state.orders = book_class(state.orders.now, state.orders.records())
+        if item.owner in runs or item in given_up:
+            continue
+        if outcome.verdict is OrderVerdict.STARTED:
+            if rng.random() < 0.3:
+                given_up.add(item)
+                sent.append((item, pack_order(WithdrawOrder(item))))
+            else:
+                runs[item.owner] = 1
+                if rng.random() < 0.6:
+                    sent.append((item, pack_order(FinishOrder(item, b"receipt"))))
+        elif outcome.verdict is OrderVerdict.RUNNING and rng.random() < 0.3:
+            given_up.add(item)
+            sent.append((item, pack_order(WithdrawOrder(item))))
+    by_scope: dict[bytes, int] = {}
+    for item in attempts:
+        by_scope[item.scope] = by_scope.get(item.scope, 0) + runs.get(item.owner, 0)
+    return max(by_scope.values(), default=0)
+
+
+class HistoryTests(unittest.TestCase):
+    """Random histories of attempts at a few orders."""
+
+    def test_no_order_runs_twice(self):
+        self.assertLessEqual(max(play_history(seed) for seed in range(300)), 1)
+
+    def test_orders_do_run(self):
+        self.assertGreater(sum(play_history(seed) for seed in range(300)), 200)
+
+    def test_each_guard_is_needed(self):
+        for book_class in (ForgetsOwners, StartsAnew):
+            with self.subTest(book_class.__name__):
+                self.assertGreater(max(play_history(seed, book_class) for seed in range(300)), 1)
+
+
+class AskerTests(unittest.TestCase):
+    """A node that asks a leader that may not answer."""
+
+    def setUp(self):
+        self.now = 0.0
+        self.sent = []
+        self.outcomes = []
+        self.asker = OrderAsker(lambda: self.now, self.send)
+
+    def send(self, kind, payload):
+        self.sent.append((kind, decode(kind, payload)))
+        return True
+
+    def say(self, verdict, owner=b"a"):
+        self.asker.on_said(OrderSaid(owner, OrderOutcome(verdict)))
+
+    def test_questions_are_repeated_until_they_are_answered(self):
+        self.asker.begin(order(b"a"), self.outcomes.append)
+        self.now += ASK_EVERY_S
+        self.asker.sweep()
+        self.say(OrderVerdict.STARTED)
+        self.say(OrderVerdict.STARTED)
+        self.now += ASK_EVERY_S
+        self.asker.sweep()
+        self.assertEqual([kind for kind, _ in self.sent], [Kind.ORDER_BEGIN] * 2)
+        self.assertEqual([item.verdict for item in self.outcomes], [OrderVerdict.STARTED])
+
+    def test_a_leader_that_says_nothing_is_not_waited_for(self):
+        self.asker.begin(order(b"a"), self.outcomes.append)
+        self.now += BEGIN_S
+        self.asker.sweep()
+        self.assertEqual([item.verdict for item in self.outcomes], [OrderVerdict.UNREACHED])
+        self.assertEqual(len(self.asker), 0)
+
+    def test_a_late_answer_to_the_begin_does_not_end_the_withdrawal(self):
+        self.asker.begin(order(b"a"), self.outcomes.append)
+        self.asker.withdraw(order(b"a"))
+        self.say(OrderVerdict.STARTED)
+        self.assertEqual((len(self.asker), self.outcomes), (1, []))
+        self.say(OrderVerdict.ENDED)
+        self.assertEqual(len(self.asker), 0)
+
+    def test_what_is_asked_is_bounded(self):
+        for number in range(MOST_ASKED + 1):
+            self.asker.begin(order(b"%d" % number), self.outcomes.append)
+        self.assertEqual([item.verdict for item in self.outcomes], [OrderVerdict.UNREACHED])
+
+
+class CallerTests(MeshTestCase):
+    """What callers get who send an order again, at the same node or at another one."""
+
+    def ask_twice(self, play=answer_at_once, first=POST, second=POST, target="/order/"):
+        async def run():
+            await self.pair(play)
+            other = await self.bench.add(answer_at_once, service="front")
+            await self.bench.connect()
+            one = await self.bench.caller(self.bench.nodes[0])
+            two = await self.bench.caller(other)
+            return await one.ask(target, "a1", **first), await two.ask(target, "a2", **second)
+
+        return self.bench.run(run())
+
+    def test_a_resend_at_another_node_gets_the_stored_answer(self):
+        first, second = self.ask_twice()
+        self.assertEqual((first[0], second[0]), (200, 200))
+        self.assertEqual(second[2], first[2])
+        self.assertEqual(field(second[1], ATTEMPT), "a2")
+        self.assertEqual(field(second[1], "Marjoramvalve-Replayed"), "1")
+        self.assertIsNone(field(first[1], "Marjoramvalve-Replayed"))
+        self.assertEqual(len(self.seen), 1)
+        self.assertEqual(field(self.seen[0], "Idempotency-Key"), '"order-7"')
+
+    def test_another_request_under_the_same_key_is_refused(self):
+        _, (status, _, body) = self.ask_twice(second={**POST, "body": "beams"})
+        self.assertEqual((status, b"not-run" in body), (422, True))
+        self.assertEqual(len(self.seen), 1)
+
+    def test_a_key_that_does_not_parse_is_refused(self):
+        bad = {**POST, "extra": 'Idempotency-Key: "half\r\n'}
+        _, (status, _, _) = self.ask_twice(second=bad)
+        self.assertEqual(status, 400)
+
+    def test_requests_that_may_be_repeated_need_no_record(self):
+        self.ask_twice(target="/read/")
+        self.assertEqual((len(self.seen), len(self.bench.orders.book)), (2, 0))
+
+    def test_an_order_that_broke_is_not_run_again(self):
+        async def break_off(request, writer):
+            writer.close()
+
+        first, (status, _, body) = self.ask_twice(play=break_off)
+        self.assertEqual((first[0], status), (502, 409))
+        self.assertIn(b"unknown", body)
+        self.assertEqual(len(self.seen), 1)
+
+    def test_an_order_that_was_refused_may_be_sent_again(self):
+        async def run():
+            one = await self.pair(answer_at_once)
+            self.bench.set_ready(self.bench.nodes[1], "i-n1", ready=False)
+            while any(peer.usable for peer in self.bench.nodes[0].egress.peers.of("s")):
+                await asyncio.sleep(0.005)
+            refused = await one.ask("/order/", "a1", **POST)
+            self.bench.set_ready(self.bench.nodes[1], "i-n1")
+            while not any(peer.usable for peer in self.bench.nodes[0].egress.peers.of("s")):
+                await asyncio.sleep(0.005)
+            return refused[0], (await one.ask("/order/", "a2", **POST))[0]
+
+        self.assertEqual(self.bench.run(run()), (503, 200))
+        self.assertEqual(len(self.seen), 1)
+
+    def test_the_answer_is_kept_for_a_caller_that_has_left(self):
+        async def run():
+            release = asyncio.Event()
+            one = await self.pair(answer_after(release))
+            node = self.bench.nodes[0]
+            one.send("/order/", "a1", **POST)
+            while not self.seen:
+                await asyncio.sleep(0.005)
+            one.writer.close()
+            while node.callers.connections:
+                await asyncio.sleep(0.005)
+            meanwhile = await (await self.bench.caller(node)).ask("/order/", "a2", **POST)
+            release.set()
+            while node.egress.under_way:
+                await asyncio.sleep(0.005)
+            later = await (await self.bench.caller(node)).ask("/order/", "a3", **POST)
+            return meanwhile[0], later[0], later[2]
+
+        self.assertEqual(self.bench.run(run()), (409, 200, b"fine"))
+        self.assertEqual(len(self.seen), 1)
+
+    def test_without_a_leader_nothing_is_sent_and_a_late_permission_is_given_back(self):
+        async def run():
+            one = await self.pair(answer_at_once)
+            orders = self.bench.orders
+            orders.is_reachable = False
+            one.send("/order/", "a1", **POST)
+            while not orders.late:
+                await asyncio.sleep(0.005)
+            item, on_outcome = orders.late.pop()
+            orders.book.begin(item, 0.0, RETENTION_S)
+            on_outcome(OrderOutcome(OrderVerdict.UNREACHED))
+            status, head, body = await one.answer()
+            orders.is_reachable = True
+            again = await one.ask("/order/", "a2", **POST)
+            return status, field(head, "Retry-After") is not None, b"not-run" in body, again[0]
+
+        self.assertEqual(self.bench.run(run()), (503, True, True, 200))
+        self.assertEqual(len(self.seen), 1)
+
+    def test_a_permission_that_comes_after_the_caller_has_left_is_not_used(self):
+        async def run():
+            one = await self.pair(answer_at_once)
+            orders = self.bench.orders
+            orders.is_reachable = False
+            one.send("/order/", "a1", **POST)
+            while not orders.late:
+                await asyncio.sleep(0.005)
+            one.writer.close()
+            while self.bench.nodes[0].callers.connections:
+                await asyncio.sleep(0.005)
+            item, on_outcome = orders.late.pop()
+            on_outcome(orders.book.begin(item, 0.0, RETENTION_S))
+            return len(orders.book)
+
+        self.assertEqual(self.bench.run(run()), 0)
+        self.assertEqual(self.seen, [])
+
+    def test_the_body_of_a_stored_answer_is_whole(self):
+        async def large(request, writer):
+            writer.write(ok(request, b"x" * 9_000))
+
+        first, second = self.ask_twice(play=large)
+        self.assertEqual((second[2], len(second[2])), (first[2], 9_000))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -250,6 +250,55 @@
             self.assertNotIn(f"http://{address(leader)}:", head)
         await until(read_config, json.loads(config("00000001")))
 
+    def test_an_order_runs_once_through_the_loss_of_its_node_and_of_all_controllers(self):
+        asyncio.run(self._order_again())
+
+    async def _order_again(self):
+        backend = Backend(13, "i-1", work_s=0.3)
+        await backend.start()
+        self.addCleanup(backend.close)
+        for number in (1, 2, 3):
+            self.fleet.launch("core", number)
+        for number, service in ((11, "s2"), (12, "s2"), (13, "s1")):
+            self.fleet.launch("side", number, service)
+        await until(lambda: put_config(config("00000001"), "00000000"), 200)
+        for number in (11, 12, 13):
+            await until(lambda number=number: ready(number), 200)
+        self.assertEqual(await backend.beat(), 200)
+
+        async def order(number, name, key):
+            extra = f'Idempotency-Key: "{key}"\r\n'
+            return await ask(number, "/b/x", name, extra=extra)
+
+        async def fresh_order(number=11):
+            return (await order(number, "a-0", "first"))[0]
+
+        await until(fresh_order, 200)
+        await until(lambda: fresh_order(12), 200)
+        done = await order(11, "a-1", "done")
+        self.assertEqual(done[0], 200)
+
+        # The node of the caller is lost while the order runs: its outcome is unknown for good.
+        lost = asyncio.create_task(order(11, "a-2", "lost"))
+        await until(lambda: asyncio.sleep(0, "a-2" in backend.runs), True)
+        self.fleet.kill(11)
+        with self.assertRaises((OSError, asyncio.IncompleteReadError)):
+            await lost
+        for number in (1, 2, 3):
+            self.fleet.kill(number)
+        for number in (1, 2, 3):
+            self.fleet.again(number)
+        await until(lambda: ready(12), 200)
+
+        async def again(name):
+            return (await order(12, f"{name}-b", name))[0]
+
+        await until(lambda: again("done"), 200)
+        self.assertEqual((await order(12, "a-3", "done"))[2], done[2])
+        await until(lambda: again("lost"), 409)
+        ran = {name: n for name, n in backend.runs.items() if name not in ("", "a-0")}  # A probe.
+        self.assertEqual(ran, {"a-1": 1, "a-2": 1})
+
     async def _play(self):
         backend = Backend(12, "i-1")
         await backend.start()
