Hold tokens only of customers that call a node often, and give unused ones back

Cause: every node held at least two tokens of each customer it had ever seen. Besides, a node that asked seldom minted tokens of its own beside a leader that was well, since it took its own silence for a lost leader; and callers got 429 where nobody could be asked.

Change: a lot under two tokens is not held, the leader is asked call by call; what is idle for a second or was taken for calls that did not run goes back; a node falls back only once a question failed; without a leader a customer that was not short keeps its own rate; 503 stale-config where nobody could be asked.

Shown by: tests.test_fleet_decisions.ManyNodesTests (190 nodes, fails before: refusals at half the rate) and three tests of TokenTests.

--- a/src/marjoramvalve/fleet/controllers.py
+++ b/src/marjoramvalve/fleet/controllers.py
@@ -183,8 +183,8 @@
                 self._dial(hello.address)
             case Report() as report:
                 self._on_report(stream, report)
-            case Ask(nonce=nonce, wants=wants):
-                self._on_ask(stream, nonce, wants)
+            case Ask() as ask:
+                self._on_ask(stream, ask)
             case OrderBegin(order=order):
                 self._orders.begin(stream, order)
             case OrderEnd(order=order, answer=answer):
@@ -231,10 +231,14 @@
         for stream in self._nodes:
             stream.send(kind, payload)
 
-    def _on_ask(self, stream: FrameStream, nonce: int, wants: dict[str, float]) -> None:
-        if self.group.leads():
-            granted, wait_s = self._desk.grant(wants, self._clock())
-            stream.send(Kind.GRANT, encode(Grant(nonce, granted, wait_s)))
+    def _on_ask(self, stream: FrameStream, ask: Ask) -> None:
+        if not self.group.leads():
+            return
+        now = self._clock()
+        self._desk.put_back(ask.returned, now)
+        if ask.wants:
+            granted, wait_s = self._desk.grant(ask.wants, now)
+            stream.send(Kind.GRANT, encode(Grant(ask.nonce, granted, wait_s)))
 
     # State
 
--- a/src/marjoramvalve/fleet/members.py
+++ b/src/marjoramvalve/fleet/members.py
@@ -77,6 +77,7 @@
         self._on_peers = on_peers
         self.version = 0
         self.lots = TokenLots(clock, self._ask)
+        self.lots.put_back = self._put_back
         self.orders = OrderAsker(clock, self._send_to_leader)
         self._dialers: dict[str, Dialer] = {}
         self._rosters: dict[str, dict[str, RosterEntry]] = {}
@@ -287,3 +288,7 @@
     def _ask(self, wants: dict[str, float]) -> bool:
         self._nonce += 1
         return self._send_to_leader(Kind.ASK, encode(Ask(self._nonce, wants)))
+
+    def _put_back(self, returned: dict[str, float]) -> bool:
+        self._nonce += 1
+        return self._send_to_leader(Kind.ASK, encode(Ask(self._nonce, {}, returned)))
--- a/src/marjoramvalve/fleet/messages.py
+++ b/src/marjoramvalve/fleet/messages.py
@@ -113,10 +113,11 @@
 
 
 class Ask(msgspec.Struct, frozen=True, array_like=True):
-    """Tokens that a node wants, by customer."""
+    """Tokens that a node wants, and unused ones that it gives back, by customer."""
 
     nonce: int
     wants: dict[str, float]
+    returned: dict[str, float] = {}
 
 
 class Grant(msgspec.Struct, frozen=True, array_like=True):
--- a/src/marjoramvalve/fleet/tokens.py
+++ b/src/marjoramvalve/fleet/tokens.py
@@ -1,5 +1,8 @@
 """Rates of customers: one bucket each at the leader, small lots of tokens at the nodes.
 
+A node holds tokens only of customers that call it often. For the others it asks a call at a time:
+with many nodes, a token held idle at each would be more than a customer's whole burst.
+
 The sum over the fleet never exceeds burst + rate x time by more than the lots at the nodes, which
 are a part of a second's calls. A new leader starts with empty buckets: what the one before it
 granted may still be in use.
@@ -12,7 +15,8 @@
 from marjoramvalve.rates import TokenBucket
 
 LOT_S = 0.4  # Calls for which a node holds tokens, by the rate it sees.
-LEAST_LOT = 2.0
+LEAST_LOT = 2.0  # Smaller lots are not held: the leader is asked call by call.
+IDLE_S = 1.0  # Tokens of a customer that has not called for this long go back to the leader.
 FALLBACK_S = 3.0  # Without a leader, a node goes on at the rate it was granted for this long.
 ANSWER_S = 0.4  # Longest wait for tokens before a call is refused.
 RETRY_AFTER_S = 0.25  # When to come back where nobody could be asked.
@@ -45,6 +49,13 @@
         for name in self._buckets.keys() - document.customers.keys():
             del self._buckets[name]
 
+    def put_back(self, returned: dict[str, float], now: float) -> None:
+        """Takes tokens back that a node has not used."""
+        for name, tokens in returned.items():
+            bucket = self._buckets.get(name)
+            if bucket is not None and tokens > 0:
+                bucket.add(tokens, now)
+
     def grant(
         self, wants: dict[str, float], now: float
     ) -> tuple[dict[str, float], dict[str, float]]:
@@ -66,7 +77,10 @@
 
 @dataclass(slots=True)
 class _Lot:
-    """Tokens of one customer. `rate` is that of its calls, `granted_rate` that of the grants."""
+    """Tokens of one customer. `rate` is that of its calls, `granted_rate` that of the grants.
+
+    `safe_rate` is what it may go on at without a leader.
+    """
 
     tokens: float = 0.0
     asked_at: float = -1e9
@@ -77,6 +91,8 @@
     rate: float = 0.0
     granted: float = 0.0
     granted_rate: float = 0.0
+    safe_rate: float = 0.0
+    called_at: float = 0.0
     refilled_at: float = 0.0
     waiting: list[Callable[[float], None]] = field(default_factory=list)
 
@@ -86,10 +102,11 @@
 
     def __init__(self, clock: Callable[[], float], ask: Callable[[dict[str, float]], bool]) -> None:
         self._clock = clock
-        self._ask = ask
+        self.ask = ask
+        self.put_back: Callable[[dict[str, float]], bool] = lambda returned: False
         self._lots: dict[str, _Lot] = {}
         self._limited: set[str] = set()
-        self._heard_at = -1e9
+        self._lost_at: float | None = None
 
     def set_document(self, document: Document) -> None:
         """Takes in which customers have a rate."""
@@ -106,8 +123,6 @@
         if lot is None:
             lot = self._lots[customer] = _Lot(window_at=now)
         self._note(lot, now)
-        if lot.tokens < 1.0:
-            self._fall_back(lot, now)
         if lot.tokens >= 1.0:
             lot.tokens -= 1.0
             if lot.tokens < self._goal(lot) / 2:
@@ -115,30 +130,43 @@
             return 0.0
         if now < lot.refused_until:
             return lot.refused_until - now
-        if not self._order(customer, lot, now):
+        if self._order(customer, lot, now):
+            return None
+        self._fall_back(lot, now)
+        if lot.tokens < 1.0:
             return RETRY_AFTER_S
-        return None
+        lot.tokens -= 1.0
+        return 0.0
 
     def give_back(self, customer: str) -> None:
         """Takes back the token of a call that has not run."""
         lot = self._lots.get(customer)
         if lot is not None:
-            lot.tokens = min(lot.tokens + 1.0, 2 * self._goal(lot))
+            lot.tokens += 1.0
+
+    def is_short(self, customer: str) -> bool:
+        """Tells whether the leader had no tokens for a customer; else nobody could be asked."""
+        lot = self._lots.get(customer)
+        return lot is not None and self._clock() < lot.refused_until
 
     def wait(self, customer: str, resume: Callable[[float], None]) -> None:
         """Calls `resume` with 0 once there is a token, or with seconds after which to come back."""
         self._lots[customer].waiting.append(resume)
 
     def _goal(self, lot: _Lot) -> float:
-        return max(LEAST_LOT, lot.rate * LOT_S)
+        goal = lot.rate * LOT_S
+        return goal if goal >= LEAST_LOT else 0.0
 
     def _note(self, lot: _Lot, now: float) -> None:
         lot.calls += 1
+        lot.called_at = now
         span = now - lot.window_at
         if span >= RATE_WINDOW_S:
             lot.rate += RATE_SMOOTHING * (lot.calls / span - lot.rate)
-            if now < self._heard_at + RATE_WINDOW_S:
+            if self._lost_at is None:
                 lot.granted_rate += RATE_SMOOTHING * (lot.granted / span - lot.granted_rate)
+                was_short = now < lot.refused_until + FALLBACK_S
+                lot.safe_rate = lot.granted_rate if was_short else lot.rate
             lot.calls = 0
             lot.granted = 0.0
             lot.window_at = now
@@ -149,24 +177,31 @@
         if now < lot.refused_until:
             return False
         want = self._goal(lot) + len(lot.waiting) - lot.tokens
-        if not self._ask({customer: max(1.0, float(int(want)))}):
+        if not self.ask({customer: max(1.0, float(int(want)))}):
             return False
         lot.is_asked = True
         lot.asked_at = now
         return True
 
     def _fall_back(self, lot: _Lot, now: float) -> None:
-        """Goes on at the rate granted so far while a leader is being chosen."""
-        since = max(lot.refilled_at, self._heard_at + ANSWER_S)
-        if now > self._heard_at + FALLBACK_S or now <= since:
+        """Goes on at a safe rate while a leader is being chosen."""
+        if self._lost_at is None:
+            self._lost_at = now
+        if now > self._lost_at + FALLBACK_S:
             return
-        lot.tokens = min(self._goal(lot), lot.tokens + lot.granted_rate * (now - since))
+        if lot.refilled_at < self._lost_at:
+            gained_s = FALLBACK_S
+            most = 1.0
+        else:
+            gained_s = now - lot.refilled_at
+            most = max(1.0, self._goal(lot))
+        lot.tokens = min(most, lot.tokens + lot.safe_rate * gained_s)
         lot.refilled_at = now
 
     def on_grant(self, granted: dict[str, float], wait_s: dict[str, float]) -> None:
         """Takes in the leader's answer."""
         now = self._clock()
-        self._heard_at = now
+        self._lost_at = None
         for customer in (*granted, *wait_s):
             lot = self._lots.get(customer)
             if lot is None:
@@ -195,11 +230,22 @@
             resume(after_s)
 
     def sweep(self) -> None:
-        """Ends waits that nobody answers."""
+        """Ends waits that nobody answers, and gives back tokens that nobody uses."""
         now = self._clock()
+        self._return_surplus(now)
         for lot in self._lots.values():
             if lot.waiting and now > lot.asked_at + ANSWER_S:
                 lot.is_asked = False
                 self._fall_back(lot, now)
                 self._hand_out(lot)
                 self._release(lot, RETRY_AFTER_S)
+
+    def _return_surplus(self, now: float) -> None:
+        surplus: dict[str, float] = {}
+        for customer, lot in self._lots.items():
+            kept = 0.0 if now > lot.called_at + IDLE_S else 2 * self._goal(lot) + LEAST_LOT
+            if lot.tokens >= kept + 1.0 and not lot.waiting:
+                surplus[customer] = float(int(lot.tokens - kept))
+        if surplus and self.put_back(surplus):
+            for customer, tokens in surplus.items():
+                self._lots[customer].tokens -= tokens
--- a/src/marjoramvalve/mesh/egress.py
+++ b/src/marjoramvalve/mesh/egress.py
@@ -240,7 +240,11 @@
     def _refuse_rate(self, call: Call, after_s: float) -> None:
         call.done = True
         self._gate.give_back(call.target.name)
-        self._refuse_request(call.request, Reason.RATE, 429, after_s, customer=call.customer)
+        if self._limiter.is_short(call.customer):
+            reason, status = Reason.RATE, 429
+        else:
+            reason, status = Reason.STALE_CONFIG, 503  # Nobody could be asked.
+        self._refuse_request(call.request, reason, status, after_s, customer=call.customer)
 
     def _on_tokens(self, call: Call, after_s: float) -> None:
         if call.done:
--- a/src/marjoramvalve/mesh/limiters.py
+++ b/src/marjoramvalve/mesh/limiters.py
@@ -18,6 +18,9 @@
     def give_back(self, customer: str) -> None:
         """Takes back what was taken for a call that has not run."""
 
+    def is_short(self, customer: str) -> bool:
+        """Tells whether a customer is at its rate; else nobody could be asked about it."""
+
 
 class Gate(Protocol):
     """Admission of root calls by what they cause further down."""
--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -13,7 +13,7 @@
 from marjoramvalve.fleet.plans import KEPT, ROUND_S, SETTLE_S, TARGET, LoadPlan
 from marjoramvalve.fleet.rosters import GONE_AFTER_S, RosterBook
 from marjoramvalve.fleet.states import FleetState, Publish, VerdictKind, pack, unpack_document
-from marjoramvalve.fleet.tokens import ANSWER_S, FALLBACK_S, TokenDesk, TokenLots
+from marjoramvalve.fleet.tokens import ANSWER_S, FALLBACK_S, IDLE_S, TokenDesk, TokenLots
 from marjoramvalve.model import encode_document, validate_document
 
 
@@ -212,6 +212,40 @@
         self.lots.give_back("shed")
         self.assertEqual(self.lots.admit("shed"), 0.0)
 
+    def test_without_a_leader_a_refusal_says_nothing_of_the_rate(self):
+        self.lots.admit("shed")
+        self.lots.on_grant({"shed": 1.0}, {})
+        self.lots.admit("shed")
+        self.has_leader = False
+        self.now += FALLBACK_S + ANSWER_S + 1
+        self.assertGreater(self.lots.admit("shed"), 0.0)
+        self.assertFalse(self.lots.is_short("shed"))
+        self.lots.on_grant({}, {"shed": 1.0})
+        self.assertTrue(self.lots.is_short("shed"))
+
+    def test_a_customer_that_was_not_short_keeps_its_own_rate_without_a_leader(self):
+        for _ in range(40):
+            self.now += 0.5
+            if self.lots.admit("shed") is None:
+                self.lots.on_grant({"shed": 1.0}, {})
+                self.lots.admit("shed")
+        self.has_leader = False
+        refused = 0
+        for _ in range(5):
+            self.now += 0.5
+            refused += self.lots.admit("shed") != 0.0
+        self.assertEqual(refused, 0)
+
+    def test_unused_tokens_go_back_to_the_leader(self):
+        returned = []
+        self.lots.put_back = lambda tokens: returned.append(tokens) or True
+        self.lots.admit("shed")
+        self.lots.on_grant({"shed": 3.0}, {})
+        self.now += IDLE_S + 0.1
+        self.lots.sweep()
+        self.lots.sweep()
+        self.assertEqual(returned, [{"shed": 3.0}])
+
     def test_without_a_leader_a_node_goes_on_at_its_rate_for_a_while(self):
         for _ in range(100):
             self.now += 0.1
@@ -254,6 +288,82 @@
         self.assertEqual(desk.grant({"shed": 5.0}, 0.0)[0], {"shed": 5.0})
 
 
+class ManyNodesTests(unittest.TestCase):
+    """One customer whose calls come at many nodes, a few at each."""
+
+    NODES = 190
+    RATE = 40.0
+
+    def setUp(self):
+        self.now = 0.0
+        rng = random.Random(1)
+        doc = document(rate=self.RATE, burst=self.RATE)
+        self.desk = TokenDesk()
+        self.desk.set_document(validate_document({}).value, True, 0.0)
+        self.desk.set_document(doc, True, 0.0)
+        self.asked = []
+        self.lots = []
+        for _ in range(self.NODES):
+            lots = TokenLots(lambda: self.now, lambda wants: False)
+            lots.set_document(doc)
+            self.lots.append(lots)
+        for lots in self.lots:
+            lots.ask = lambda wants, lots=lots: self.ask(lots, wants)
+            lots.put_back = self.put_back
+        self.rng = rng
+
+    def ask(self, lots, wants):
+        self.asked.append((lots, wants))
+        return True
+
+    def answer(self):
+        """Lets the leader answer what has been asked."""
+        while self.asked:
+            lots, wants = self.asked.pop(0)
+            lots.on_grant(*self.desk.grant(wants, self.now))
+
+    def put_back(self, returned):
+        self.desk.put_back(returned, self.now)
+        return True
+
+    def play(self, rate, seconds, gives_back=0.0):
+        """Returns calls let in and refused."""
+        let_in = refused = 0
+        swept = 0.0
+        end = self.now + seconds
+        while self.now < end:
+            self.now += self.rng.expovariate(rate)
+            if self.now > swept + 0.1:
+                swept = self.now
+                for lots in self.lots:
+                    lots.sweep()
+            lots = self.rng.choice(self.lots)
+            outcomes = []
+            after_s = lots.admit("shed")
+            if after_s is None:
+                lots.wait("shed", outcomes.append)
+                self.answer()
+                after_s = outcomes[0]
+            self.answer()
+            let_in += after_s == 0.0
+            refused += after_s > 0.0
+            if after_s == 0.0 and self.rng.random() < gives_back:
+                lots.give_back("shed")
+                let_in -= 1
+        return let_in, refused
+
+    def test_a_customer_far_under_its_rate_is_never_refused(self):
+        self.assertEqual(self.play(self.RATE / 2, 20.0)[1], 0)
+
+    def test_tokens_of_calls_that_did_not_run_are_not_lost(self):
+        self.assertEqual(self.play(self.RATE, 20.0, gives_back=0.5)[1], 0)
+
+    def test_a_customer_over_its_rate_gets_its_rate(self):
+        let_in, _ = self.play(4 * self.RATE, 20.0)
+        self.assertLessEqual(let_in, self.RATE * 21 + 1)
+        self.assertGreaterEqual(let_in, self.RATE * 21 * 0.95)
+
+
 def report(name, address, incarnation=1, service="s"):
     """Returns a node's report."""
     return Report(name, "d", address, service, incarnation, 0, 0.0)
