Bound bytes without end, in heads, between chunks and over all bodies on their way

Cause: a head, interim answers, answers to nobody, chunk extensions and trailers were read without any limit until the call's deadline, a caller's header line until its time-out, and eight bodies at once could take eight times the limit of one.

Change: all that is no body is bounded for each exchange, bodies on their way share one limit, and the largest gives way; the connection is closed, the call is answered 502 and the upstream is judged by it.

--- a/src/marjoramvalve/h1/callers.py
+++ b/src/marjoramvalve/h1/callers.py
@@ -17,6 +17,7 @@
 MAX_PIPELINED = 64  # Requests of one connection at work at once.
 MAX_UNREAD_BYTES = 16 << 20  # Answers that a caller may leave unread before it is cut off.
 UNREAD_S = 20.0  # A caller that takes nothing of its answers for this long is cut off.
+MOST_CHUNKING = 8  # Overhead of a byte of a body that comes in chunks of one.
 NO_BODY_STATUSES = frozenset({204, 304})
 STATUS_LINES = {
     status.value: b"HTTP/1.1 %d %s\r\n" % (status.value, status.phrase.encode())
@@ -91,6 +92,7 @@
         self._lines: list[bytes] = []
         self._body: list[bytes] = []
         self._size = 0
+        self._fed = 0  # Bytes of the head, or of the body with its framing, in later reads.
         self._in_head = False
         self._dropped: set[bytes] = set()
         self._last: IncomingRequest | None = None
@@ -131,6 +133,7 @@
         if self._closing:
             return
         self.active_at = self._loop.time()
+        before = (self._request, self._in_head)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -138,6 +141,17 @@
         except httptools.HttpParserError as exc:
             if not self._closing:
                 self._fail(400, str(exc).encode()[:100])
+        if self._request is not None and (self._request, self._in_head) == before:
+            self._count_fed(len(data))
+
+    def _count_fed(self, size: int) -> None:
+        """Counts what the parser keeps or skips before it hands anything on."""
+        self._fed += size
+        most = self._server.limits.header_bytes
+        if self._in_head and self._fed > most:
+            self._fail(431, b"request head is above the limit")
+        elif not self._in_head and self._fed > most + (1 + MOST_CHUNKING) * self._size:
+            self._fail(413, b"request body is above the limit")
 
     # Parser
 
@@ -147,6 +161,7 @@
         self._lines = []
         self._body = []
         self._size = 0
+        self._fed = 0
         self._in_head = True
         self._dropped = set()
         self.began_at = self.active_at
@@ -197,7 +212,7 @@
     def on_headers_complete(self) -> None:
         """Ends the head."""
         self._in_head = False
-        self._size = 0
+        self._size = self._fed = 0
         lines = self._lines
         if self._dropped - {b"close", b"keep-alive"}:
             lines = [line for line in lines if line.partition(b":")[0].lower() not in self._dropped]
@@ -325,7 +340,7 @@
         """Listens. Raises OSError."""
         host, port = split_address(address)
         self._server = await self.loop.create_server(
-            lambda: CallerConnection(self), host, port, backlog=BACKLOG
+            self.make_connection, host, port, backlog=BACKLOG
         )
         self._sweeper = self.loop.call_later(SWEEP_S, self._sweep)
 
@@ -335,6 +350,10 @@
             conn.sweep(now, self.limits)
         self._sweeper = self.loop.call_later(SWEEP_S, self._sweep)
 
+    def make_connection(self) -> "CallerConnection":
+        """Returns the protocol of a new connection."""
+        return CallerConnection(self)
+
     def stop_listening(self) -> None:
         """Takes no more connections."""
         if self._server is not None:
--- a/src/marjoramvalve/h1/upstreams.py
+++ b/src/marjoramvalve/h1/upstreams.py
@@ -16,6 +16,9 @@
 IDLE_MARGIN_S = 1.0  # Upstreams tell their time-out in whole seconds.
 FRESH_S = 0.25  # A connection idle for less is taken to be open still at the other end.
 MAX_ANSWER_BYTES = 64 << 20
+MAX_HEAD_BYTES = 256 << 10  # Of all that is no body: heads, interim answers, chunk sizes, trailers.
+MOST_CHUNKING = 8  # Overhead of a byte of a body that comes in chunks of one.
+MAX_HELD_BYTES = 96 << 20  # Of all answers that are on their way at once.
 
 log = structlog.get_logger("upstreams")
 
@@ -76,12 +79,14 @@
         self.exchange: Exchange | None = None
         self.idle_until = 0.0
         self.idle_since = 0.0
+        self.size = 0  # Of the body that is held.
+        self._fed = 0  # Bytes since the request was sent, and those of them that were of bodies.
+        self._fed_body = 0
         self._reset()
 
     def _reset(self) -> None:
         self._lines: list[bytes] = []
-        self._body: list[bytes] = []
-        self._size = 0
+        self._drop_body()
         self._attempt: bytes | None = None
         self._not_run = False
         self._load = b""
@@ -107,6 +112,7 @@
         if self._parser is None:
             self._parser = httptools.HttpResponseParser(self)
         self._reset()
+        self._fed = self._fed_body = 0
         self._transport.write(exchange.raw)
 
     def data_received(self, data: bytes) -> None:
@@ -118,6 +124,15 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
             self._break(f"answer does not parse: {exc}")
+            return
+        self._fed += len(data)
+        if self.exchange is None:
+            return
+        overhead = self._fed - self._fed_body
+        if overhead > MAX_HEAD_BYTES + MOST_CHUNKING * self._fed_body:
+            self._break(f"{overhead} bytes that are no body")
+        elif self._fed > MAX_ANSWER_BYTES:
+            self._break(f"answer is above {MAX_ANSWER_BYTES} bytes")
 
     def eof_received(self) -> bool:
         """Completes an answer that has no length of its own."""
@@ -132,6 +147,15 @@
         self._pool.discard(self)
         self._break(f"upstream closed the connection: {exc or 'end of stream'}", Break.CLOSED)
 
+    def _drop_body(self) -> None:
+        self._pool.hold_body(-self.size)
+        self._body: list[bytes] = []
+        self.size = 0
+
+    def give_up(self, detail: str) -> None:
+        """Ends the exchange as broken."""
+        self._break(detail)
+
     def _break(self, detail: str, how: Break = Break.SPOILED) -> None:
         exchange, self.exchange = self.exchange, None
         self.abort()
@@ -141,6 +165,7 @@
     def abort(self) -> None:
         """Closes the connection, which tells the upstream to stop."""
         self.exchange = None
+        self._drop_body()
         if self._transport is not None:
             self._transport.abort()
 
@@ -197,11 +222,11 @@
 
     def on_body(self, part: bytes) -> None:
         """Takes a part of the body."""
-        self._size += len(part)
-        if self._size > MAX_ANSWER_BYTES:
-            self._break(f"answer is above {MAX_ANSWER_BYTES} bytes")
-            return
-        self._body.append(part)
+        self._fed_body += len(part)
+        if self.exchange is not None:
+            self.size += len(part)
+            self._body.append(part)
+            self._pool.hold_body(len(part))
 
     def on_message_complete(self) -> None:
         """Ends an answer."""
@@ -232,6 +257,7 @@
             self._load,
             self._instance,
         )
+        self._drop_body()
         # The rest of what has come is read first: extra bytes must not meet the next request.
         self._pool.loop.call_soon(self._pool.release, self, self._close, self._keep_s)
         exchange.on_answer(answer)
@@ -251,6 +277,7 @@
         self.most = 256
         self.opened = 0
         self._address = ""
+        self._held = 0
         self._idle: list[UpstreamConnection] = []
         self._all: set[UpstreamConnection] = set()
         self._connecting: set[asyncio.Task] = set()
@@ -261,6 +288,13 @@
         self.read_headers |= {b"connection": "connection", b"keep-alive": "keep-alive"}
         self.read_headers |= {b"content-length": "framing", b"transfer-encoding": "framing"}
 
+    def hold_body(self, size: int) -> None:
+        """Counts what is held of answers; above the limit the largest one is given up."""
+        self._held += size
+        if self._held > MAX_HELD_BYTES:
+            largest = max(self._all, key=lambda conn: conn.size)
+            largest.give_up(f"answers under way are above {MAX_HELD_BYTES} bytes")
+
     def set_address(self, address: str) -> None:
         """Sets where the upstream listens; connections to another address are dropped."""
         if address != self._address:
