Try an upstream that has just joined, once and by each caller at its own time

Cause: an upstream that has not answered yet counts as one of usual speed.

Change: an untried upstream that is not cold counts as fast for a single call, at a time that each caller draws over three seconds.

Shown by: tests.test_mesh_decisions.PlaceTests (two tests).

--- a/src/marjoramvalve/mesh/egress.py
+++ b/src/marjoramvalve/mesh/egress.py
@@ -67,7 +67,7 @@
         self._caller_line = f"{names.caller}: {service}\r\n".encode()
         self._customer_name = names.customer.encode()
         own = OwnPeer(hello.name, service, ingress, self)
-        self.peers = PeerSet(hello, own, self, self._move_calls)
+        self.peers = PeerSet(hello, own, self, self._move_calls, rng)
         self._orders = Orders(keeper, hello.session, service, self._attempt_name)
         self.table: RouteTable | None = None
         self.is_confirmed: Callable[[], bool] = lambda: False
--- a/src/marjoramvalve/mesh/peers.py
+++ b/src/marjoramvalve/mesh/peers.py
@@ -164,10 +164,18 @@
     """The ingress of another instance, over a link that is made anew when it is lost."""
 
     def __init__(
-        self, name: str, service: str, address: str, near: bool, hello: Hello, owner: PeerOwner
+        self,
+        name: str,
+        service: str,
+        address: str,
+        near: bool,
+        hello: Hello,
+        owner: PeerOwner,
+        trial_delay_s: float,
     ) -> None:
         super().__init__(name, service, near, owner)
         self.address = address
+        self._trial_delay_s = trial_delay_s
         self._hello = msgspec.msgpack.encode(hello)
         self._loop = asyncio.get_running_loop()
         self._stream: FrameStream | None = None
@@ -278,6 +286,8 @@
 
     def _on_welcome(self, stream: FrameStream, welcome: Welcome) -> None:
         before, self._welcome = self._welcome, welcome
+        if before is None or before.cold:
+            self.place.trial_at = self._loop.time() + self._trial_delay_s
         self.place.limit = max(1, welcome.limit)
         self.place.cold = welcome.cold
         if self._stream is stream:
--- a/src/marjoramvalve/mesh/peersets.py
+++ b/src/marjoramvalve/mesh/peersets.py
@@ -1,11 +1,13 @@
 """The ingress nodes that an egress may send to, and the state of the links to them."""
 
 import asyncio
+import random
 from collections.abc import Callable
 
 from marjoramvalve.mesh.calls import Call
 from marjoramvalve.mesh.frames import Hello
 from marjoramvalve.mesh.peers import FarPeer, OwnPeer, Peer, PeerOwner
+from marjoramvalve.mesh.places import TRIAL_SPREAD_S
 
 CHECK_S = 0.1  # How often links with calls under way are looked at.
 
@@ -14,8 +16,14 @@
     """The own ingress and links to others. `on_quiet` is told of a link that says nothing."""
 
     def __init__(
-        self, hello: Hello, own: OwnPeer, owner: PeerOwner, on_quiet: Callable[[FarPeer], None]
+        self,
+        hello: Hello,
+        own: OwnPeer,
+        owner: PeerOwner,
+        on_quiet: Callable[[FarPeer], None],
+        rng: random.Random,
     ) -> None:
+        self._rng = rng
         self._loop = asyncio.get_running_loop()
         self._hello = hello
         self._owner = owner
@@ -56,7 +64,8 @@
                 if peer is not None:  # A session has one link at a time.
                     del self._retired[address]
                     peer.close()
-                peer = FarPeer(name, service, address, near, self._hello, self._owner)
+                delay_s = TRIAL_SPREAD_S * self._rng.random()
+                peer = FarPeer(name, service, address, near, self._hello, self._owner, delay_s)
                 peer.start()
             self.far[address] = peer
         self._list_services()
--- a/src/marjoramvalve/mesh/places.py
+++ b/src/marjoramvalve/mesh/places.py
@@ -1,7 +1,8 @@
 """Choice of the ingress for a call: near and fast ones first, others by need.
 
 Answers uneven load: failure domains with too few upstreams for their callers, upstreams of
-different speed, and upstreams that turn slow or fail.
+different speed, and upstreams that turn slow or fail. One that has just joined is tried once, and
+by each caller at a time of its own: those known to be fast would otherwise get every call.
 """
 
 from collections.abc import Iterable
@@ -13,13 +14,15 @@
 FAILURE_WEIGHT = 6.0  # An upstream that always fails costs as much as one seven times as slow.
 COLD_WEIGHT = 2.0  # Slowness taken for an upstream that has just started.
 LOAD_POWER = 6  # How sharply cost grows as the slots fill up.
+UNTRIED_SLOWNESS = 0.5  # Taken for one that has not answered yet, for a single call.
+TRIAL_SPREAD_S = 3.0  # Callers try a new upstream over this time: ten times a usual call.
 MEMORY_S = 3.0  # Speed and failures of an upstream that is avoided are forgotten in this time.
 LEAST_PART, MOST_PART = 0.2, 10.0  # One answer counts as this much faster or slower at most.
 
 
 @dataclass(slots=True)
 class Place:
-    """One ingress as an egress sees it."""
+    """One ingress as an egress sees it. `trial_at` is when it is tried for the first time."""
 
     near: bool
     limit: int = 1
@@ -29,7 +32,8 @@
     own_at_report: int = 0
     slowness: float = 1.0
     failures: float = 0.0
-    noted_at: float = 0.0
+    noted_at: float | None = None
+    trial_at: float = 0.0
 
     def report(self, running: int, waiting: int) -> None:
         """Takes in the load that came with an answer."""
@@ -45,9 +49,13 @@
 
     def cost_s(self, service_s: float, now: float) -> float:
         """Returns the expected time of a call here, with what it costs others."""
-        age = min(1.0, max(0.0, now - self.noted_at) / MEMORY_S)
-        slowness = self.slowness + (1.0 - self.slowness) * age
-        failures = self.failures * (1.0 - age)
+        if self.noted_at is None:
+            is_trial = now >= self.trial_at and not self.own
+            slowness, failures = UNTRIED_SLOWNESS if is_trial else 1.0, 0.0
+        else:
+            age = min(1.0, max(0.0, now - self.noted_at) / MEMORY_S)
+            slowness = self.slowness + (1.0 - self.slowness) * age
+            failures = self.failures * (1.0 - age)
         if self.cold:
             slowness = max(slowness, COLD_WEIGHT)
         others = max(0, self.reported - self.own_at_report)
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -174,6 +174,23 @@
         cold.cold = True
         self.assertEqual(self.pick(cold=cold, warm=self.place(own=3)), "warm")
 
+    def test_a_new_upstream_is_tried_once_beside_known_faster_ones(self):
+        fast, new = self.place(slowness=0.6), Place(True, 10, trial_at=2.0)
+        places = {"fast": fast, "new": new}
+        self.assertEqual(choose(places.items(), 0.05, 0.0), "fast")
+        fast.noted_at = 2.0
+        self.assertEqual(choose(places.items(), 0.05, 2.0), "new")
+        new.own = 1
+        self.assertEqual(choose(places.items(), 0.05, 2.0), "fast")
+        new.own = 0
+        new.note(1.0, False, 2.0)
+        self.assertEqual(choose(places.items(), 0.05, 2.0), "fast")
+
+    def test_a_new_upstream_that_is_cold_or_far_is_no_trial(self):
+        near = self.place()
+        for new in (Place(True, 10, cold=True), Place(False, 10)):
+            self.assertEqual(self.pick(near=near, new=new), "near")
+
     def test_nothing_to_choose_from(self):
         self.assertIsNone(choose((), 0.05, 0.0))
 
