Try an upstream that has joined while it is still cold

Change: the trial is due from the first word that it is ready, spread over 1.5 s; one call of each caller nearby.

--- a/src/marjoramvalve/mesh/peers.py
+++ b/src/marjoramvalve/mesh/peers.py
@@ -286,7 +286,7 @@
 
     def _on_welcome(self, stream: FrameStream, welcome: Welcome) -> None:
         before, self._welcome = self._welcome, welcome
-        if before is None or before.cold:
+        if before is None or not before.ready:
             self.place.trial_at = self._loop.time() + self._trial_delay_s
         self.place.limit = max(1, welcome.limit)
         self.place.cold = welcome.cold
--- a/src/marjoramvalve/mesh/places.py
+++ b/src/marjoramvalve/mesh/places.py
@@ -15,7 +15,7 @@
 COLD_WEIGHT = 2.0  # Slowness taken for an upstream that has just started.
 LOAD_POWER = 6  # How sharply cost grows as the slots fill up.
 UNTRIED_SLOWNESS = 0.5  # Taken for one that has not answered yet, for a single call.
-TRIAL_SPREAD_S = 3.0  # Callers try a new upstream over this time: ten times a usual call.
+TRIAL_SPREAD_S = 1.5  # Callers try a new upstream over this time: some usual calls.
 MEMORY_S = 3.0  # Speed and failures of an upstream that is avoided are forgotten in this time.
 LEAST_PART, MOST_PART = 0.2, 10.0  # One answer counts as this much faster or slower at most.
 
@@ -49,14 +49,13 @@
 
     def cost_s(self, service_s: float, now: float) -> float:
         """Returns the expected time of a call here, with what it costs others."""
-        if self.noted_at is None:
-            is_trial = now >= self.trial_at and not self.own
-            slowness, failures = UNTRIED_SLOWNESS if is_trial else 1.0, 0.0
-        else:
-            age = min(1.0, max(0.0, now - self.noted_at) / MEMORY_S)
-            slowness = self.slowness + (1.0 - self.slowness) * age
-            failures = self.failures * (1.0 - age)
-        if self.cold:
+        is_trial = self.noted_at is None and now >= self.trial_at and not self.own
+        age = min(1.0, max(0.0, now - (self.noted_at or 0.0)) / MEMORY_S)
+        slowness = self.slowness + (1.0 - self.slowness) * age
+        failures = self.failures * (1.0 - age)
+        if is_trial:
+            slowness = UNTRIED_SLOWNESS
+        elif self.cold:
             slowness = max(slowness, COLD_WEIGHT)
         others = max(0, self.reported - self.own_at_report)
         use = (others + self.own + 1) / max(1, self.limit)
