Let a node keep links to the leader and three other controllers, and report as often as the leader bears

Cause: each node had a link to every controller and reported to all of them, to the leader each 0.3 s, with its names on each report and the whole list of controllers on each answer. With 191 nodes and ten controllers that is 1,800 reports a second, some 800 KB a second of control traffic worked out, most of it between failure domains.

Change: a node keeps to the leader and to three more, those of its own domain first, and asks all of them where no leader is known; the leader says how often it wants to be heard (350 reports a second at most); reports on a known link hold only what changes, and so do the answers. Groups of up to four controllers are linked as before.

Shown by: tests.test_fleet_links (the choice at 190 and 900 nodes; a node among ten controllers on sockets through the loss of the leader and a group cut in two).

--- a/src/marjoramvalve/fleet/controllers.py
+++ b/src/marjoramvalve/fleet/controllers.py
@@ -13,8 +13,10 @@
 from marjoramvalve.fleet.dialers import Dialer
 from marjoramvalve.fleet.groups import Group
 from marjoramvalve.fleet.identities import Founding, load_identity
+from marjoramvalve.fleet.links import report_period_s
 from marjoramvalve.fleet.messages import (
     Ask,
+    Beat,
     Config,
     ControllerHello,
     Envelope,
@@ -90,6 +92,7 @@
         self._dialers: dict[str, Dialer] = {}
         self._peers: dict[str, _Peer] = {}
         self._nodes: dict[FrameStream, Report] = {}
+        self._told: dict[FrameStream, dict[str, str]] = {}
         self._roster = RosterBook()
         self._changed: set[str] = set()
         self._gone: set[str] = set()
@@ -142,7 +145,8 @@
 
     def _hello(self) -> bytes:
         name = self.group.identity.name
-        return encode(ControllerHello(name, self.options.address, self.options.control))
+        options = self.options
+        return encode(ControllerHello(name, options.address, options.control, options.domain))
 
     def _on_dialed(self, dialer: Dialer) -> None:
         dialer.send(Kind.CONTROLLER, self._hello())
@@ -166,6 +170,7 @@
 
     def stream_closed(self, stream: FrameStream) -> None:
         """Forgets the stream; a node's entry lives on for a while."""
+        self._told.pop(stream, None)
         report = self._nodes.pop(stream, None)
         if report is not None:
             log.info("node.link_lost", node=report.name)
@@ -183,6 +188,9 @@
                 self._dial(hello.address)
             case Report() as report:
                 self._on_report(stream, report)
+            case Beat(version=version, stamp=stamp, load=load) if stream in self._nodes:
+                changes = {"version": version, "stamp": stamp, "load": load}
+                self._on_report(stream, msgspec.structs.replace(self._nodes[stream], **changes))
             case Ask() as ask:
                 self._on_ask(stream, ask)
             case OrderBegin(order=order):
@@ -209,10 +217,21 @@
         if report.load is not None:
             self._plan.note(report.address, report.service, report.load, now)
         state = self.group.state
-        members = self.group.replica.members
-        addresses = (*members.voters.values(), *members.learners.values())
         caps = self._plan.caps(report.address, now) if leads else None
-        status = Status(report.stamp, leads, state.version, addresses, caps)
+        controllers = self._controllers()
+        if self._told.get(stream) == controllers:
+            controllers = None
+        else:
+            self._told[stream] = controllers
+        status = Status(
+            report.stamp,
+            leads,
+            state.version,
+            controllers,
+            caps,
+            self._leader_address(),
+            report_period_s(len(self._nodes)) if leads else 0.0,
+        )
         if report.version < state.version:
             stream.send(Kind.CONFIG, self._config())
         stream.send(Kind.STATUS, encode(status))
@@ -231,6 +250,20 @@
         for stream in self._nodes:
             stream.send(kind, payload)
 
+    def _controllers(self) -> dict[str, str]:
+        """Returns the failure domains of the group's members by address."""
+        members = self.group.replica.members
+        domains = {self.options.address: self.options.domain}
+        domains |= {address: peer.hello.domain for address, peer in self._peers.items()}
+        addresses = (*members.voters.values(), *members.learners.values())
+        return {address: domains.get(address, "") for address in addresses}
+
+    def _leader_address(self) -> str:
+        """Returns the address of the leader, empty where it is not known."""
+        replica = self.group.replica
+        members = replica.members
+        return members.voters.get(replica.leader) or members.learners.get(replica.leader, "")
+
     def _on_ask(self, stream: FrameStream, ask: Ask) -> None:
         if not self.group.leads():
             return
--- a/src/marjoramvalve/fleet/members.py
+++ b/src/marjoramvalve/fleet/members.py
@@ -10,8 +10,10 @@
 import structlog
 
 from marjoramvalve.fleet.dialers import Dialer
+from marjoramvalve.fleet.links import LEAST_PERIOD_S, choose_links
 from marjoramvalve.fleet.messages import (
     Ask,
+    Beat,
     Config,
     Grant,
     Kind,
@@ -32,14 +34,15 @@
 from marjoramvalve.model import Document
 from marjoramvalve.retries import EndedRun
 
-REPORT_S = 0.3  # To the leader: many times within the time a configuration stays confirmed.
-REST_EVERY = 5  # Other controllers get every fifth report.
+REST_S = 1.5  # Between reports to controllers that do not lead.
+SETTLED_S = 3.0  # A leader known for this long; links to the other controllers are closed then.
 TICK_S = 0.1
 LEASE_MARGIN = 0.1  # Part of the lease kept back for clocks that differ in rate and for the way.
 FAR_LINKS = 3  # Links to each service in each other failure domain.
 ENDS_KEPT_S = 60.0  # Ends told again on a new link; as long as controllers remember them.
 MOST_ENDS = 16  # An upstream that ends more often within that time is no use anyway.
-LEADER_LIFE_S = 1.5  # A controller that said it leads is asked for tokens for this long.
+LEADER_LIFE_S = 1.5  # A controller that said it leads is asked for tokens for this long...
+LEADER_PERIODS = 2.5  # ...or for this many of the pauses between reports.
 
 log = structlog.get_logger("member")
 
@@ -85,6 +88,10 @@
         self._confirmed_at = -1e9
         self._leader: Dialer | None = None
         self._led_at = -1e9
+        self._led_since = -1e9
+        self._period_s = LEAST_PERIOD_S
+        self._lists: dict[Dialer, dict[str, str]] = {}
+        self._introduced: set[Dialer] = set()
         self._nonce = 0
         self._task: asyncio.Task | None = None
         self._seeds = options.seeds
@@ -135,7 +142,32 @@
             self._dialers[address] = dialer
             dialer.start()
 
+    def _knows_leader(self) -> bool:
+        life_s = max(LEADER_LIFE_S, LEADER_PERIODS * self._period_s)
+        return self._leader is not None and self._clock() < self._led_at + life_s
+
+    def _keep_links(self, now: float) -> None:
+        """Dials the controllers to keep links to, and lets go of the others in time."""
+        knows_leader = self._knows_leader()
+        if not knows_leader:
+            self._led_since = now
+        leader = self._leader.address if knows_leader else None
+        known = self._lists.get(self._leader, {}) if knows_leader else self._all_known()
+        options = self.options
+        wanted = choose_links(options.name, options.domain, known, leader)
+        for address in wanted:
+            self._dial(address)
+        if knows_leader and now > self._led_since + SETTLED_S:
+            self._forget(wanted)
+
+    def _all_known(self) -> dict[str, str]:
+        known = {address: "" for address in (*self._seeds, *self._dialers)}
+        for controllers in self._lists.values():
+            known |= controllers
+        return known
+
     def _on_open(self, dialer: Dialer) -> None:
+        self._introduced.discard(dialer)
         self._report(dialer)
         now = self._clock()
         for at, ended in self._ends:
@@ -163,6 +195,11 @@
 
     def _report(self, dialer: Dialer) -> None:
         options = self.options
+        load = self.load() if dialer is self._leader and not self.leaving else None
+        if dialer in self._introduced and not self.leaving:
+            dialer.send(Kind.BEAT, encode(Beat(self.version, self._clock(), load)))
+            return
+        self._introduced.add(dialer)
         report = Report(
             options.name,
             options.domain,
@@ -172,13 +209,12 @@
             self.version,
             self._clock(),
             self.leaving,
-            self.load() if dialer is self._leader and not self.leaving else None,
+            load,
         )
         dialer.send(Kind.REPORT, encode(report))
 
     async def _run(self) -> None:
-        turn = 0
-        reported_at = 0.0
+        reported_at = rested_at = 0.0
         while True:
             await asyncio.sleep(TICK_S)
             now = self._clock()
@@ -188,13 +224,15 @@
             if confirmed != self._was_confirmed:
                 self._was_confirmed = confirmed
                 log.info("config.confirmed", confirmed=confirmed, version=self.version)
-            if now < reported_at + REPORT_S:
+            self._keep_links(now)
+            if now < reported_at + self._period_s:
                 continue
             reported_at = now
-            turn += 1
-            knows_leader = now < self._led_at + LEADER_LIFE_S
+            is_rest = not self._knows_leader() or now >= rested_at + REST_S
+            if is_rest:
+                rested_at = now
             for dialer in list(self._dialers.values()):
-                if dialer is self._leader or not knows_leader or turn % REST_EVERY == 0:
+                if dialer is self._leader or is_rest:
                     self._report(dialer)
 
     def _on_frame(self, dialer: Dialer, kind: int, payload: bytes) -> None:
@@ -213,23 +251,30 @@
                 self.orders.on_said(said)
 
     def _on_status(self, dialer: Dialer, status: Status) -> None:
-        if status.leads:
-            if self._leader is not dialer:
-                log.info("leader.found", address=dialer.address, version=status.version)
-            self._leader = dialer
-            self._led_at = self._clock()
-            if status.caps is not None:
-                self.on_caps(status.caps)
-            if status.version == self.version:
-                self._confirmed_at = max(self._confirmed_at, status.stamp)
-        for address in status.controllers:
-            self._dial(address)
-        if status.leads:
-            self._forget({*status.controllers, *self._seeds})
-
-    def _forget(self, known: set[str]) -> None:
-        for address in self._dialers.keys() - known:
-            self._dialers.pop(address).close()
+        if status.controllers is not None:
+            self._lists[dialer] = status.controllers
+        if not status.leads:
+            if dialer is self._leader and status.leader not in ("", dialer.address):
+                self._led_at = -1e9
+            if status.leader and not self._knows_leader():
+                self._dial(status.leader)
+            return
+        if self._leader is not dialer:
+            log.info("leader.found", address=dialer.address, version=status.version)
+        self._leader = dialer
+        self._led_at = self._clock()
+        self._period_s = max(LEAST_PERIOD_S, status.period_s)
+        if status.caps is not None:
+            self.on_caps(status.caps)
+        if status.version == self.version:
+            self._confirmed_at = max(self._confirmed_at, status.stamp)
+
+    def _forget(self, wanted: frozenset[str]) -> None:
+        for address in self._dialers.keys() - wanted:
+            dialer = self._dialers.pop(address)
+            self._introduced.discard(dialer)
+            self._lists.pop(dialer, None)
+            dialer.close()
             self._rosters.pop(address, None)
 
     def _take_config(self, version: int, packed: bytes) -> None:
@@ -281,9 +326,7 @@
     # Questions to the leader
 
     def _send_to_leader(self, kind: Kind, payload: bytes) -> bool:
-        if self._leader is None or self._clock() > self._led_at + LEADER_LIFE_S:
-            return False
-        return self._leader.send(kind, payload)
+        return self._knows_leader() and self._leader.send(kind, payload)
 
     def _ask(self, wants: dict[str, float]) -> bool:
         self._nonce += 1
--- a/src/marjoramvalve/fleet/messages.py
+++ b/src/marjoramvalve/fleet/messages.py
@@ -35,6 +35,7 @@
     ORDER_BEGIN = 42
     ORDER_END = 43
     ORDER_VERDICT = 44
+    BEAT = 45
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True):
@@ -51,6 +52,14 @@
     load: "NodeLoad | None" = None
 
 
+class Beat(msgspec.Struct, frozen=True, array_like=True):
+    """What changes from one report of a node to the next on the same link."""
+
+    version: int
+    stamp: float
+    load: "NodeLoad | None" = None
+
+
 class RouteRuns(msgspec.Struct, frozen=True, array_like=True):
     """Runs of one route that ended well: number, slot-seconds, and sub-calls made by route."""
 
@@ -76,15 +85,19 @@
 class Status(msgspec.Struct, frozen=True, array_like=True):
     """Answer to a report. `version` is the newest one only where `leads` is true.
 
-    `controllers` names the addresses of the group's members. `caps` limits the outside calls a
-    second that the node lets in, by route; None leaves them as they are.
+    `controllers` gives the failure domain of each member of the group by address; None where that
+    is as said before on this link. `caps` limits the outside calls a second that the node lets in,
+    by route; None leaves them as they are. `leader` is the address of the leader, where it is
+    known, and `period_s` how often the leader wants to hear the node.
     """
 
     stamp: float
     leads: bool
     version: int
-    controllers: tuple[str, ...]
+    controllers: dict[str, str] | None = None
     caps: dict[str, float] | None = None
+    leader: str = ""
+    period_s: float = 0.0
 
 
 class Config(msgspec.Struct, frozen=True, array_like=True):
@@ -169,11 +182,15 @@
 
 
 class ControllerHello(msgspec.Struct, frozen=True, array_like=True):
-    """What a controller says of itself: group name, address for links, address for operators."""
+    """What a controller says of itself.
+
+    That is its name in the group, its addresses for links and for operators, and where it stands.
+    """
 
     name: str
     address: str
     control: str
+    domain: str = ""
 
 
 ConsensusBody = PreVote | PreVoted | Vote | Voted | AppendEntries | Appended | InstallSnapshot
@@ -190,6 +207,7 @@
 
 encode = msgspec.msgpack.Encoder().encode
 DECODERS = {
+    Kind.BEAT: msgspec.msgpack.Decoder(Beat),
     Kind.REPORT: msgspec.msgpack.Decoder(Report),
     Kind.STATUS: msgspec.msgpack.Decoder(Status),
     Kind.CONFIG: msgspec.msgpack.Decoder(Config),
