--- a/src/marjoramvalve/fleet/controllers.py
+++ b/src/marjoramvalve/fleet/controllers.py
@@ -231,6 +231,7 @@
             caps,
             self._leader_address(),
             report_period_s(len(self._nodes)) if leads else 0.0,
+            self._plan.parts() if caps else None,
         )
         if report.version < state.version:
             stream.send(Kind.CONFIG, self._config())
--- a/src/marjoramvalve/fleet/members.py
+++ b/src/marjoramvalve/fleet/members.py
@@ -98,7 +98,8 @@
         self._was_confirmed = False
         self.leaving = False
         self.load: Callable[[], NodeLoad | None] = lambda: None
-        self.on_caps: Callable[[dict[str, float]], None] = lambda caps: None
+        self.on_caps: Callable[[dict[str, float], dict[str, float] | None], None]
+        self.on_caps = lambda caps, parts: None
         self.on_suspects: Callable[[Suspects], None] = lambda suspects: None
         self.list_suspects: Callable[[], Suspects | None] = lambda: None
         self._ends: deque[tuple[float, UpstreamEnded]] = deque(maxlen=MOST_ENDS)
@@ -265,7 +266,7 @@
         self._led_at = self._clock()
         self._period_s = max(LEAST_PERIOD_S, status.period_s)
         if status.caps is not None:
-            self.on_caps(status.caps)
+            self.on_caps(status.caps, status.parts)
         if status.version == self.version:
             self._confirmed_at = max(self._confirmed_at, status.stamp)
 
--- a/src/marjoramvalve/fleet/messages.py
+++ b/src/marjoramvalve/fleet/messages.py
@@ -87,8 +87,9 @@
 
     `controllers` gives the failure domain of each member of the group by address; None where that
     is as said before on this link. `caps` limits the outside calls a second that the node lets in,
-    by route; None leaves them as they are. `leader` is the address of the leader, where it is
-    known, and `period_s` how often the leader wants to hear the node.
+    by route, and `parts` tells what part of them the fleet lets in; None leaves both as they are.
+    `leader` is the address of the leader, where it is known, and `period_s` how often the leader
+    wants to hear the node.
     """
 
     stamp: float
@@ -98,6 +99,7 @@
     caps: dict[str, float] | None = None
     leader: str = ""
     period_s: float = 0.0
+    parts: dict[str, float] | None = None
 
 
 class Config(msgspec.Struct, frozen=True, array_like=True):
--- a/src/marjoramvalve/fleet/plans.py
+++ b/src/marjoramvalve/fleet/plans.py
@@ -20,6 +20,8 @@
 TARGET_DOWN, TARGET_UP = 0.97, 1.02  # Steps of the target a report round, by calls that wait.
 WAITING_SHARE = 0.3  # Calls waiting, as a share of the slots, above which the target is lowered.
 CALM_SHARE = 0.1  # The same, below which it is raised again.
+DRAIN_S = 1.0  # Calls that wait are to be served in this time, beside those that come.
+MOST_DRAIN = 0.3  # Part of the slots that is kept for them at most.
 KEPT = 0.3  # Part of the fleet's mean share that each route keeps before ranks decide.
 KEPT_SLOTS = 0.1  # Part of the tightest service's slots up to which a route keeps all its calls.
 MOST_KEPT_SLOTS = 0.4  # Part of a service's slots that all routes together keep in this way.
@@ -124,6 +126,14 @@
                 caps[route] = round(rate * max(share, LEAST_SHARE / len(self._nodes)), 2)
         return caps
 
+    def parts(self) -> dict[str, float]:
+        """Returns what part of the calls of each limited route the fleet lets in."""
+        return {
+            route: round(rate / self._offered[route], 3)
+            for route, rate in self._rates.items()
+            if rate < self._offered[route] * FREE
+        }
+
     def _make(self, now: float) -> None:
         elapsed_s = min(MEMORY_S, now - self._planned_at)
         self._planned_at = now
@@ -163,9 +173,20 @@
             elif waiting[service] <= CALM_SHARE * count:
                 target *= TARGET_UP
             self._targets[service] = min(TARGET, max(LEAST_TARGET, target))
-            slots[service] = count * self._targets[service]
+            backlog = waiting[service] * self._mean_s(service) / DRAIN_S
+            slots[service] = count * self._targets[service] - min(backlog, MOST_DRAIN * count)
         return slots
 
+    def _mean_s(self, service: str) -> float:
+        """Returns how long a call takes at a service, over all routes that lead there."""
+        runs = [
+            (runs.count * part, runs.seconds * part)
+            for route, runs in self._runs.items()
+            if (part := self._splits[route].get(service, 0.0))
+        ]
+        count = sum(number for number, _ in runs)
+        return sum(seconds for _, seconds in runs) / count if count > 0 else 0.0
+
     def _cost(self, route: str) -> dict[str, float]:
         """Returns the slots x seconds that a call of a route takes at each service, all the way."""
         cost: dict[str, float] = {}
--- a/src/marjoramvalve/mesh/egress.py
+++ b/src/marjoramvalve/mesh/egress.py
@@ -61,6 +61,7 @@
         self._gate = gate
         self._deadlines = deadlines
         self._ids = count(1)
+        self._rng = rng
         self._means = RouteMeans()
         self._budget = RepeatBudget()
         self._attempt_name = names.attempt.encode()
@@ -311,7 +312,7 @@
         now = self._loop.time()
         peers = self.peers.of(call.service)
         usable = [(p, p.place) for p in peers if p not in call.tried and p.usable]
-        peer = choose(usable, self._means.of(call.target.name), now)
+        peer = choose(usable, self._means.of(call.target.name), now, self._rng.random)
         if peer is None:
             if call.maybe_ran:
                 self._fail(call, Reason.UPSTREAM_FAILED, 502, "no other upstream")
--- a/src/marjoramvalve/mesh/gates.py
+++ b/src/marjoramvalve/mesh/gates.py
@@ -2,6 +2,10 @@
 
 Answers overload of a service deep in the call graph: a call that would be refused there after
 others have worked for it is refused here instead, before anything has been spent on it.
+
+With many nodes each lets in few calls of a route. Calls that every node may save up would then be
+far more than the cap of the whole fleet, so that a node with a small cap lets in a part of its
+calls by chance instead.
 """
 
 import random
@@ -31,12 +35,17 @@
         self._clock = clock
         self._rng = rng
         self._caps: dict[str, float] = {}
+        self._parts: dict[str, float] = {}
         self._caps_at = 0.0
         self._flows: dict[str, _Flow] = {}
 
-    def set_caps(self, caps: dict[str, float]) -> None:
-        """Takes in calls a second by route; a route that is not named is not limited."""
+    def set_caps(self, caps: dict[str, float], parts: dict[str, float] | None = None) -> None:
+        """Takes in calls a second by route; a route that is not named is not limited.
+
+        `parts` tells what part of the calls of a route the fleet as a whole lets in.
+        """
         self._caps = caps
+        self._parts = parts or {}
         self._caps_at = self._clock()
 
     def admit(self, route: str) -> float:
@@ -48,14 +57,20 @@
         cap = self._caps.get(route)
         now = self._clock()
         if cap is not None and now < self._caps_at + CAPS_LIFE_S:
+            part = self._parts.get(route)
+            if part is not None and cap * BURST_S < LEAST_BURST:
+                return 0.0 if self._rng.random() < part else self._after_s()
             most = max(LEAST_BURST, cap * BURST_S)
             flow.tokens = min(most, flow.tokens + cap * (now - flow.at))
             flow.at = now
             if flow.tokens < 1.0:
-                return RETRY_AFTER_S + RETRY_SPREAD_S * self._rng.random()
+                return self._after_s()
             flow.tokens -= 1.0
         return 0.0
 
+    def _after_s(self) -> float:
+        return RETRY_AFTER_S + RETRY_SPREAD_S * self._rng.random()
+
     def limit_of(self, route: str) -> tuple[float, float]:
         """Returns the calls a second that are let in of a limited route, and the limit's age."""
         return self._caps[route], self._clock() - self._caps_at
--- a/src/marjoramvalve/mesh/peers.py
+++ b/src/marjoramvalve/mesh/peers.py
@@ -101,6 +101,7 @@
     def usable(self) -> bool:
         """Tells whether the upstream beside takes calls."""
         self.place.limit = max(1, self._ingress.limit)
+        self.place.report(*self._ingress.load, self._loop.time())
         return self._ingress.ready
 
     def send(self, call: "Call") -> None:
@@ -136,7 +137,7 @@
     def _end(self, job: Job) -> "Call | None":
         self._jobs.pop(job.call_id, None)
         call = self._take(job.call_id)
-        self.place.report(*self._ingress.load)
+        self.place.report(*self._ingress.load, self._loop.time())
         return call
 
     def job_answered(self, job: Job, answer: UpstreamAnswer, service_s: float) -> None:
@@ -305,7 +306,7 @@
     def _answer(self, payload: bytes) -> None:
         call_id, status, service_ms, running, waiting, head_n = ANSWER.unpack_from(payload)
         call = self._take(call_id)
-        self.place.report(running, waiting)
+        self.place.report(running, waiting, self._loop.time())
         if call is not None:
             split = ANSWER.size + head_n
             head, body = payload[ANSWER.size : split], payload[split:]
@@ -314,7 +315,7 @@
     def _verdict(self, kind: int, payload: bytes) -> None:
         call_id, why, after_ms, running, waiting = VERDICT.unpack(payload)
         call = self._take(call_id)
-        self.place.report(running, waiting)
+        self.place.report(running, waiting, self._loop.time())
         if call is None:
             return
         if kind == Kind.REFUSED:
--- a/src/marjoramvalve/mesh/places.py
+++ b/src/marjoramvalve/mesh/places.py
@@ -3,9 +3,14 @@
 Answers uneven load: failure domains with too few upstreams for their callers, upstreams of
 different speed, and upstreams that turn slow or fail. One that has just joined is tried once, and
 by each caller at a time of its own: those known to be fast would otherwise get every call.
+
+Answers also many callers that share small upstreams: what each has heard of their load is old
+before it is used, and equal choices of all would fill one upstream after the other. Old news count
+for less, the usual load of the others for more, and chance spreads what costs about the same.
 """
 
-from collections.abc import Iterable
+import math
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 FAR_SHARE = 1.0  # Cost of another failure domain, as a part of the service time...
@@ -13,6 +18,8 @@
 SMOOTHING = 0.1  # Weight of a new answer in speed and failure rate.
 FAILURE_WEIGHT = 6.0  # An upstream that always fails costs as much as one seven times as slow.
 COLD_WEIGHT = 2.0  # Slowness taken for an upstream that has just started.
+NEWS_S = 0.1  # Time constant in which a reported load loses its weight: about a usual call.
+SPREAD = 0.3  # Upstreams that cost this part more than the cheapest one get calls as well.
 LOAD_POWER = 6  # How sharply cost grows as the slots fill up.
 UNTRIED_SLOWNESS = 0.5  # Taken for one that has not answered yet, for a single call.
 TRIAL_SPREAD_S = 1.5  # Callers try a new upstream over this time: some usual calls.
@@ -34,11 +41,18 @@
     failures: float = 0.0
     noted_at: float | None = None
     trial_at: float = 0.0
+    reported_at: float = 0.0
 
-    def report(self, running: int, waiting: int) -> None:
+    def report(self, running: int, waiting: int, now: float) -> None:
         """Takes in the load that came with an answer."""
         self.reported = running + waiting
         self.own_at_report = self.own
+        self.reported_at = now
+
+    @property
+    def others_use(self) -> float:
+        """Returns the part of the slots that calls of others took at the last report."""
+        return max(0, self.reported - self.own_at_report) / max(1, self.limit)
 
     def note(self, part_of_mean: float, failed: bool, now: float) -> None:
         """Takes in the service time of an answer, as a part of the mean of its route."""
@@ -47,8 +61,11 @@
         self.failures += SMOOTHING * ((1.0 if failed else 0.0) - self.failures)
         self.noted_at = now
 
-    def cost_s(self, service_s: float, now: float) -> float:
-        """Returns the expected time of a call here, with what it costs others."""
+    def cost_s(self, service_s: float, now: float, usual_use: float) -> float:
+        """Returns the expected time of a call here, with what it costs others.
+
+        `usual_use` is the part of the slots that others use at places like this one.
+        """
         is_trial = self.noted_at is None and now >= self.trial_at and not self.own
         age = min(1.0, max(0.0, now - (self.noted_at or 0.0)) / MEMORY_S)
         slowness = self.slowness + (1.0 - self.slowness) * age
@@ -57,8 +74,9 @@
             slowness = UNTRIED_SLOWNESS
         elif self.cold:
             slowness = max(slowness, COLD_WEIGHT)
-        others = max(0, self.reported - self.own_at_report)
-        use = (others + self.own + 1) / max(1, self.limit)
+        news = math.exp((self.reported_at - now) / NEWS_S)
+        others = news * self.others_use + (1.0 - news) * usual_use
+        use = others + (self.own + 1) / max(1, self.limit)
         crowd = 1.0 + use**LOAD_POWER if use < 1 else 2.0 * use
         cost = service_s * slowness * crowd * (1.0 + FAILURE_WEIGHT * failures)
         return cost if self.near else cost * (1.0 + FAR_SHARE) + FAR_S
@@ -91,11 +109,24 @@
         return self._means.get(route, 0.05)
 
 
-def choose(places: Iterable[tuple[object, Place]], service_s: float, now: float) -> object | None:
-    """Returns the item with the cheapest place, or None where there is none."""
+def choose(
+    places: Sequence[tuple[object, Place]],
+    service_s: float,
+    now: float,
+    chance: Callable[[], float],
+) -> object | None:
+    """Returns an item with one of the cheapest places, or None where there is none.
+
+    `chance` returns numbers from 0 to 1.
+    """
+    usual = {near: _usual_use([p for _, p in places if p.near is near]) for near in (True, False)}
     best, best_cost = None, float("inf")
     for item, place in places:
-        cost = place.cost_s(service_s, now)
+        cost = place.cost_s(service_s, now, usual[place.near]) * (1.0 + SPREAD * chance())
         if cost < best_cost:
             best, best_cost = item, cost
     return best
+
+
+def _usual_use(places: Sequence[Place]) -> float:
+    return sum(place.others_use for place in places) / len(places) if places else 0.0
--- a/src/marjoramvalve/node/meters.py
+++ b/src/marjoramvalve/node/meters.py
@@ -6,7 +6,7 @@
 from marjoramvalve.mesh import Ingress, RootGate
 
 SMOOTHING = 0.5  # Weight of the newest span in the rates; spans are those between two reports.
-FORGET_BELOW = 0.05  # Rates a second under this are left out.
+LEAST_TOLD = 0.05  # Rates a second under this are left out.
 
 
 class LoadMeter:
@@ -25,21 +25,21 @@
         span_s = max(0.05, now - self._at)
         self._at = now
         counts = self._gate.take_counts()
-        self._smooth(self._offered, {name: count / span_s for name, count in counts.items()})
+        self._smooth({name: count / span_s for name, count in counts.items()})
+        offered = {
+            name: round(rate, 3) for name, rate in self._offered.items() if rate >= LEAST_TOLD
+        }
         runs = {
             name: RouteRuns(item.count, round(item.seconds, 3), item.calls)
             for name, item in self._ingress.take_runs().items()
         }
         _, waiting = self._ingress.load
         slots = self._ingress.limit if self._ingress.ready else 0
-        return NodeLoad(dict(self._offered), runs, slots, waiting)
-
-    @staticmethod
-    def _smooth(held: dict[str, float], new: dict[str, float]) -> None:
-        for name in held.keys() | new.keys():
-            before = held.get(name, new.get(name, 0.0))
-            value = round(before + SMOOTHING * (new.get(name, 0.0) - before), 3)
-            if value < FORGET_BELOW:
-                held.pop(name, None)
-            else:
-                held[name] = value
+        return NodeLoad(offered, runs, slots, waiting)
+
+    def _smooth(self, rates: dict[str, float]) -> None:
+        """Takes in the rates of a span; the first one of a route counts in full."""
+        for name in self._offered.keys() | rates.keys():
+            rate = rates.get(name, 0.0)
+            before = self._offered.get(name, rate)
+            self._offered[name] = before + SMOOTHING * (rate - before)
--- a/src/marjoramvalve/scenario/graphs.py
+++ b/src/marjoramvalve/scenario/graphs.py
@@ -328,7 +328,7 @@
         self._plan.note(node.name, node.service.name, node.meter.take(), now)
         caps = self._plan.caps(node.name, now)
         if caps is not None and self._with_plan:
-            node.gate.set_caps(caps)
+            node.gate.set_caps(caps, self._plan.parts())
         self.loop.call_later(REPORT_S, self._report, node)
 
     def _arrivals(self, length_s: float) -> list[tuple[str, float]]:
--- a/tests/test_graphs.py
+++ b/tests/test_graphs.py
@@ -87,3 +87,43 @@
     def test_a_surge_that_ends_leaves_no_queue(self):
         result, _ = self.play(0.9, Surge(2.0, 8.0, 2.5))
         self.assertGreater(result.share_since("browse", 13.0), HIGH_SUCCESS)
+
+
+SMALL_SPEEDS = (0.5, 1.0, 1.0, 1.5)
+MANY = (
+    GraphService("catalogue", 9, SMALL_SPEEDS * 20),
+    GraphService("ledger", 9, SMALL_SPEEDS * 16),
+    GraphService("timber", 10, SMALL_SPEEDS * 8),
+    GraphService("bench", 7, SMALL_SPEEDS * 4, full_slowness=1.3),
+)
+
+
+class ManyNodesTests(unittest.TestCase):
+    """The same graph on 192 instances, each beside an upstream of seven to ten slots."""
+
+    def play(self, load):
+        browse = (("lookup", 2, True),)
+        pay = (("stock", 2, True),)
+        routes = (
+            GraphRoute("browse", "catalogue", 0.23, 1.5, 1.2, 133 * load, 1, 0.3, 2, True, browse),
+            GraphRoute("pay", "ledger", 0.3, 2.0, 1.5, 64 * load, 3, 0.6, 0, False, pay),
+            GraphRoute("order", "timber", 0.157, 0.5, 1.0, 50 * load, 3, 0.9, 0, False),
+            GraphRoute("view", "bench", 0.092, 0.306, 1.2, 50 * load, 2, 0.6, 1),
+            GraphRoute("lookup", "ledger", 0.015, 1.0, 2.5, rank=2, calls=(("stock", 1, False),)),
+            GraphRoute("stock", "timber", 0.015, 0.8, 2.0, rank=2, calls=(("roster", 4, False),)),
+            GraphRoute("roster", "bench", 0.058, 0.304, 0.7, rank=2),
+        )
+        set_up_logs("critical", "test")
+        return GraphWorld(MANY, routes).play(6.0)
+
+    def test_a_load_that_fits_is_served(self):
+        result = self.play(0.75)
+        for route in result.tallies:
+            self.assertGreaterEqual(result.share(route), HIGH_SUCCESS, route)
+
+    def test_more_than_fits_leaves_the_important_ones_alone(self):
+        result = self.play(1.4)
+        for route in ("pay", "order"):
+            self.assertGreaterEqual(result.share(route), HIGH_SUCCESS, route)
+        for service, runs in result.runs.items():
+            self.assertLess(result.wasted[service], (1 - GOODPUT) * runs, service)
