Tell rosters on the links that need them, large ones compressed

Change: a node says on which links it wants to hear of others: the leader's and those of its own domain, any other only where neither is open. Rosters over 1 KB are compressed.

--- a/src/marjoramvalve/fleet/controllers.py
+++ b/src/marjoramvalve/fleet/controllers.py
@@ -31,6 +31,7 @@
     UpstreamEnded,
     decode,
     encode,
+    roster_frame,
 )
 from marjoramvalve.fleet.orders import OrderDesk
 from marjoramvalve.fleet.plans import LoadPlan
@@ -205,7 +206,7 @@
 
     def _on_report(self, stream: FrameStream, report: Report) -> None:
         now = self._clock()
-        is_new = stream not in self._nodes
+        before = self._nodes.get(stream)
         self._nodes[stream] = report
         if report.leaving:
             if self._roster.drop(report):
@@ -236,8 +237,9 @@
         if report.version < state.version:
             stream.send(Kind.CONFIG, self._config())
         stream.send(Kind.STATUS, encode(status))
-        if is_new:
-            stream.send(Kind.ROSTER, encode(Roster(self._knows_all, self._roster.entries())))
+        if report.takes_roster and not (before and before.takes_roster):
+            stream.send(*roster_frame(Roster(self._knows_all, self._roster.entries())))
+        if before is None:
             suspects = self._suspects.whole(now)
             if suspects is not None:
                 stream.send(Kind.SUSPECTS, encode(suspects))
@@ -311,7 +313,7 @@
         if self._knows_all or now < began + GONE_AFTER_S:
             return
         self._knows_all = True
-        self._tell_nodes(Kind.ROSTER, encode(Roster(True, self._roster.entries())))
+        self._send_roster(Roster(True, self._roster.entries()))
 
     async def _run(self) -> None:
         said_at = 0.0
@@ -350,10 +352,16 @@
             return
         entries = [self._roster.get(address) for address in self._changed]
         found = tuple(item for item in entries if item is not None)
-        payload = encode(Roster(False, found, tuple(self._gone)))
+        roster = Roster(False, found, tuple(self._gone))
         self._changed.clear()
         self._gone.clear()
-        self._tell_nodes(Kind.ROSTER, payload)
+        self._send_roster(roster)
+
+    def _send_roster(self, roster: Roster) -> None:
+        kind, payload = roster_frame(roster)
+        for stream, report in self._nodes.items():
+            if report.takes_roster:
+                stream.send(kind, payload)
 
     def _forget_links(self) -> None:
         members = self.group.replica.members
--- a/src/marjoramvalve/fleet/members.py
+++ b/src/marjoramvalve/fleet/members.py
@@ -91,7 +91,7 @@
         self._led_since = -1e9
         self._period_s = LEAST_PERIOD_S
         self._lists: dict[Dialer, dict[str, str]] = {}
-        self._introduced: set[Dialer] = set()
+        self._introduced: dict[Dialer, bool] = {}
         self._nonce = 0
         self._task: asyncio.Task | None = None
         self._seeds = options.seeds
@@ -168,7 +168,7 @@
         return known
 
     def _on_open(self, dialer: Dialer) -> None:
-        self._introduced.discard(dialer)
+        self._introduced.pop(dialer, None)
         self._report(dialer)
         now = self._clock()
         for at, ended in self._ends:
@@ -197,10 +197,13 @@
     def _report(self, dialer: Dialer) -> None:
         options = self.options
         load = self.load() if dialer is self._leader and not self.leaving else None
-        if dialer in self._introduced and not self.leaving:
+        takes_roster = self._takes_roster(dialer)
+        if self._introduced.get(dialer) is takes_roster and not self.leaving:
             dialer.send(Kind.BEAT, encode(Beat(self.version, self._clock(), load)))
             return
-        self._introduced.add(dialer)
+        self._introduced[dialer] = takes_roster
+        if not takes_roster:
+            self._rosters.pop(dialer.address, None)
         report = Report(
             options.name,
             options.domain,
@@ -211,9 +214,28 @@
             self._clock(),
             self.leaving,
             load,
+            takes_roster,
         )
         dialer.send(Kind.REPORT, encode(report))
 
+    def _takes_roster(self, dialer: Dialer) -> bool:
+        """Tells whether to hear of other nodes on a link.
+
+        The leader knows them all, and the controllers nearby those nearby; the others are asked
+        only where neither can be.
+        """
+        if self._is_main(dialer):
+            return True
+        return not any(other.is_open and self._is_main(other) for other in self._dialers.values())
+
+    def _is_main(self, dialer: Dialer) -> bool:
+        if dialer is self._leader and self._knows_leader():
+            return True
+        return any(
+            controllers.get(dialer.address) == self.options.domain
+            for controllers in self._lists.values()
+        )
+
     async def _run(self) -> None:
         reported_at = rested_at = 0.0
         while True:
@@ -273,7 +295,7 @@
     def _forget(self, wanted: frozenset[str]) -> None:
         for address in self._dialers.keys() - wanted:
             dialer = self._dialers.pop(address)
-            self._introduced.discard(dialer)
+            self._introduced.pop(dialer, None)
             self._lists.pop(dialer, None)
             dialer.close()
             self._rosters.pop(address, None)
--- a/src/marjoramvalve/fleet/messages.py
+++ b/src/marjoramvalve/fleet/messages.py
@@ -1,5 +1,6 @@
 """Messages between nodes and controllers, and between controllers. Durations are in seconds."""
 
+import zlib
 from enum import IntEnum
 
 import msgspec
@@ -16,6 +17,9 @@
     Voted,
 )
 
+LEAST_PACKED_BYTES = 1_024  # Smaller messages gain little.
+PACK_LEVEL = 1  # Names and addresses differ by a few bytes each: a third of the size, fast.
+
 
 class Kind(IntEnum):
     """Kinds of frames of the control plane."""
@@ -36,10 +40,14 @@
     ORDER_END = 43
     ORDER_VERDICT = 44
     BEAT = 45
+    PACKED_ROSTER = 46
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True):
-    """What a node says of itself. `stamp` is its own clock at the time of sending."""
+    """What a node says of itself. `stamp` is its own clock at the time of sending.
+
+    `takes_roster` tells whether it wants to hear of other nodes on this link.
+    """
 
     name: str
     domain: str
@@ -50,6 +58,7 @@
     stamp: float
     leaving: bool = False
     load: "NodeLoad | None" = None
+    takes_roster: bool = True
 
 
 class Beat(msgspec.Struct, frozen=True, array_like=True):
@@ -214,6 +223,7 @@
     Kind.STATUS: msgspec.msgpack.Decoder(Status),
     Kind.CONFIG: msgspec.msgpack.Decoder(Config),
     Kind.ROSTER: msgspec.msgpack.Decoder(Roster),
+    Kind.PACKED_ROSTER: msgspec.msgpack.Decoder(Roster),
     Kind.ASK: msgspec.msgpack.Decoder(Ask),
     Kind.GRANT: msgspec.msgpack.Decoder(Grant),
     Kind.CONTROLLER: msgspec.msgpack.Decoder(ControllerHello),
@@ -226,12 +236,22 @@
 }
 
 
+def roster_frame(roster: Roster) -> tuple[Kind, bytes]:
+    """Returns kind and payload of a roster; large ones are compressed."""
+    payload = encode(roster)
+    if len(payload) < LEAST_PACKED_BYTES:
+        return Kind.ROSTER, payload
+    return Kind.PACKED_ROSTER, zlib.compress(payload, PACK_LEVEL)
+
+
 def decode(kind: int, payload: bytes):
     """Returns the message of a frame, or None for a kind that holds none or does not parse."""
     decoder = DECODERS.get(kind)
     if decoder is None:
         return None
     try:
+        if kind == Kind.PACKED_ROSTER:
+            payload = zlib.decompress(payload)
         return decoder.decode(payload)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, zlib.error):
         return None
