Wait in a planned stop for requests that wait for their rate or are coming in, and for answers being sent

What callers saw: in a planned stop a request that waited for tokens of its customer, or whose body was half read, was cut off without an answer, since the stop counted only calls that had been sent on.

Change: a stop also waits for connections on which a request is at work or coming in, or an answer is not sent yet, within its time.

Shown by: tests.test_mesh.StopTests, three tests, two of which failed before (connection closed, 0 bytes).

--- a/src/marjoramvalve/h1/callers.py
+++ b/src/marjoramvalve/h1/callers.py
@@ -14,6 +14,7 @@
 
 BACKLOG = 1024
 SWEEP_S = 0.5  # How exactly the time-outs of callers are kept.
+READING_S = 1.0  # A request of which nothing has come for this long does not hold up a stop.
 MAX_PIPELINED = 64  # Requests of one connection at work at once.
 MAX_UNREAD_BYTES = 16 << 20  # Answers that a caller may leave unread before it is cut off.
 UNREAD_S = 20.0  # A caller that takes nothing of its answers for this long is cut off.
@@ -294,6 +295,12 @@
         elif self._waiting and self._waiting[-1].output is None:
             self._last = self._waiting[-1]
 
+    def is_busy(self, now: float) -> bool:
+        """Tells whether a request is at work or coming in, or an answer is not sent yet."""
+        if self._waiting or (self._request is not None and now < self.active_at + READING_S):
+            return True
+        return self._transport is not None and self._transport.get_write_buffer_size() > 0
+
     def close(self) -> None:
         """Sends what is due and ends the connection."""
         if self._transport is not None:
@@ -364,6 +371,11 @@
         for conn in list(self.connections):
             conn.close_soon()
 
+    def is_busy(self) -> bool:
+        """Tells whether a caller would lose something by an end of its connection."""
+        now = self.loop.time()
+        return any(conn.is_busy(now) for conn in self.connections)
+
     async def close(self) -> None:
         """Ends everything."""
         self.stop_listening()
--- a/src/marjoramvalve/mesh/nodes.py
+++ b/src/marjoramvalve/mesh/nodes.py
@@ -132,7 +132,7 @@
         self.callers.stop_listening()
         while clock() < began + self.options.stop_s:
             self.callers.close_soon()
-            if not self.egress.under_way and not self.ingress.running:
+            if not (self.egress.under_way or self.ingress.running or self.callers.is_busy()):
                 break
             await asyncio.sleep(STOP_STEP_S)
         log.info(
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -1,6 +1,7 @@
 """The way of a call over two nodes, on loopback sockets."""
 
 import asyncio
+import types
 import unittest
 
 import msgspec
@@ -516,6 +517,62 @@
         status, head, _ = self.bench.run(play())
         self.assertEqual((status, field(head, "Connection")), (200, "close"))
 
+    async def stop_while(self, caller, node):
+        """Stops a node as its process does; returns the status that the caller gets."""
+        answer = asyncio.ensure_future(caller.answer())
+        await node.drain(asyncio.get_running_loop().time)
+        await node.close()
+        status, _, body = await answer
+        return status, len(body)
+
+    def test_a_request_that_waits_for_its_rate_is_not_cut_off(self):
+        async def play():
+            caller = await self.pair(answer_at_once)
+            front = self.bench.nodes[0]
+            waiting = []
+            front.egress._limiter = types.SimpleNamespace(
+                admit=lambda customer: None,
+                wait=lambda customer, resume: waiting.append(resume),
+                give_back=lambda customer: None,
+            )
+            caller.send("/read/", "a1")
+            while not waiting:
+                await asyncio.sleep(0.005)
+            asyncio.get_running_loop().call_later(0.4, waiting[0], 0.0)
+            return await self.stop_while(caller, front)
+
+        self.assertEqual(self.bench.run(play()), (200, 4))
+
+    def test_a_request_that_is_being_read_is_not_cut_off(self):
+        async def play():
+            caller = await self.pair(answer_at_once)
+            head = f"PUT /read/ HTTP/1.1\r\nHost: any\r\n{ATTEMPT}: a1\r\n"
+            head += "Marjoramvalve-Key: secret\r\nContent-Length: 4\r\n\r\nab"
+            caller.writer.write(head.encode())
+            await asyncio.sleep(0.05)
+            asyncio.get_running_loop().call_later(0.3, caller.writer.write, b"cd")
+            return await self.stop_while(caller, self.bench.nodes[0])
+
+        self.assertEqual(self.bench.run(play()), (200, 4))
+
+    def test_an_answer_that_is_read_slowly_is_not_cut_off(self):
+        size = 8 << 20
+
+        async def large(request, writer):
+            writer.write(ok(request, b"x" * size))
+
+        async def play():
+            caller = await self.pair(large)
+            front = self.bench.nodes[0]
+            caller.writer.transport.pause_reading()
+            caller.send("/read/", "a1")
+            while not front.callers.is_busy() or front.egress.under_way:
+                await asyncio.sleep(0.005)
+            asyncio.get_running_loop().call_later(0.4, caller.writer.transport.resume_reading)
+            return await self.stop_while(caller, front)
+
+        self.assertEqual(self.bench.run(play()), (200, size))
+
 
 class KeyTests(MeshTestCase):
     """Keys that are taken away while a call waits, and keys in places where none belongs."""
