--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -155,7 +155,9 @@
         self.elect(self.controllers[-1])
         seeds = tuple(item.address for item in self.controllers[:3])
         options = MemberOptions("n", "a", "s", free_address(), 1, seeds, 5.0)
-        clock = asyncio.get_running_loop().time
+        loop = asyncio.get_running_loop()
+        self.paused_s = 0.0
+        clock = lambda: loop.time() + self.paused_s  # noqa: E731
         self.member = Member(options, clock, lambda *config: None, lambda peers: None)
         await self.member.start()
 
@@ -205,6 +207,18 @@
     def own_domain(self):
         return [item.address for item in self.controllers if item.domain == "a"]
 
+    def test_a_confirmation_has_run_out_after_a_pause_before_anything_else_happens(self):
+        async def play():
+            await self.start()
+            await self.until(self.member.is_confirmed)
+            self.paused_s = self.member.options.lease_s
+            confirmed = self.member.is_confirmed()
+            await self.until(self.member.is_confirmed)
+            await self.close()
+            return confirmed
+
+        self.assertFalse(self.run_coro(play()))
+
     def test_a_node_whose_controllers_know_no_leader_asks_all(self):
         async def play():
             await self.start()
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from marjoramvalve.model import validate_document
 from tests.meshes import (
     ATTEMPT,
     MeshBench,
@@ -574,6 +575,37 @@
         self.assertEqual(self.bench.run(play()), (200, size))
 
 
+class RestartTests(MeshTestCase):
+    """A node that starts anew beside an upstream that it knows nothing of."""
+
+    def ready_after_restart(self, status):
+        """Returns whether calls are taken for an upstream that says this of its health."""
+        load = "Marjoramvalve-Load: 0,0,4\r\nMarjoramvalve-Instance: i-1\r\n"
+
+        async def play(request, writer):
+            assert request.startswith("GET /health ")
+            writer.write(ok(request, extra=load).replace(b"200 OK", status))
+
+        async def run():
+            await self.bench.add(play)
+            node, upstream = self.bench.nodes[0], self.bench.upstreams[0]
+            self.bench.set_ready(node, "", 0, False)
+            tree = msgspec.to_builtins(document())
+            tree["services"] = {"s": {"health_path": "/health"}}
+            node.apply_config(2, validate_document(tree).value)
+            while not upstream.requests or node.ingress._is_probing:
+                await asyncio.sleep(0.005)
+            return node.ingress.ready, node.ingress.limit
+
+        return self.bench.run(run())
+
+    def test_an_upstream_that_is_leaving_is_not_used_again(self):
+        self.assertEqual(self.ready_after_restart(b"503 Leaving"), (False, 0))
+
+    def test_an_upstream_that_is_well_is_used_before_it_says_so_itself(self):
+        self.assertEqual(self.ready_after_restart(b"200 OK"), (True, 4))
+
+
 class KeyTests(MeshTestCase):
     """Keys that are taken away while a call waits, and keys in places where none belongs."""
 
