Let refused callers come back while their answer can still be timely

Change: where there is time for it, the pause lies in the time in which a call can begin and still be answered within its objective, spread over it; callers with less time come back as before.

--- a/src/marjoramvalve/mesh/egress.py
+++ b/src/marjoramvalve/mesh/egress.py
@@ -203,7 +203,9 @@
             )
             return
         if not call.is_sub_call:
-            after_s = self._gate.admit(call.target.name)
+            name = call.target.name
+            window_s = call.target.objective_s - self._means.of(name)
+            after_s = self._gate.admit(name, window_s)
             if after_s > 0:
                 limit_per_s, age_s = self._gate.limit_of(call.target.name)
                 self._refuse_request(
--- a/src/marjoramvalve/mesh/gates.py
+++ b/src/marjoramvalve/mesh/gates.py
@@ -15,10 +15,21 @@
 CAPS_LIFE_S = 4.0  # Caps outlive the choice of a leader and its first second; later they end.
 BURST_S = 1.0  # Calls that may come at once, as time at the capped rate.
 LEAST_BURST = 2.0
-RETRY_AFTER_S, RETRY_SPREAD_S = (
-    0.4,
-    0.8,
-)  # Refused callers come back over a time like an ordinary call's.
+RETRY_AFTER_S, RETRY_SPREAD_S = 0.4, 0.8  # Over a time like an ordinary call's.
+LEAST_WINDOW_S = 0.5  # Callers with less time left for a timely answer are served late anyway.
+EARLIEST, LATEST = 0.25, 0.65  # Parts of that time; answers add up to half for their own spread.
+
+
+def return_after_s(window_s: float, chance: float) -> float:
+    """Returns when a refused caller should come back, in seconds.
+
+    `window_s` is the time left in which a call can begin and still be answered within its
+    objective. While an overload lasts, a caller is let in as likely early as late: one that comes
+    back within the window is served in time. `chance` from 0 to 1 spreads the callers.
+    """
+    if window_s < LEAST_WINDOW_S:
+        return RETRY_AFTER_S + RETRY_SPREAD_S * chance
+    return window_s * (EARLIEST + (LATEST - EARLIEST) * chance)
 
 
 @dataclass(slots=True)
@@ -48,8 +59,11 @@
         self._parts = parts or {}
         self._caps_at = self._clock()
 
-    def admit(self, route: str) -> float:
-        """Returns 0 where an outside call is let in, or seconds after which to come back."""
+    def admit(self, route: str, window_s: float = 0.0) -> float:
+        """Returns 0 where an outside call is let in, or seconds after which to come back.
+
+        `window_s` is the time in which it can begin and still be answered within its objective.
+        """
         flow = self._flows.get(route)
         if flow is None:
             flow = self._flows[route] = _Flow()
@@ -59,18 +73,16 @@
         if cap is not None and now < self._caps_at + CAPS_LIFE_S:
             part = self._parts.get(route)
             if part is not None and cap * BURST_S < LEAST_BURST:
-                return 0.0 if self._rng.random() < part else self._after_s()
+                is_in = self._rng.random() < part
+                return 0.0 if is_in else return_after_s(window_s, self._rng.random())
             most = max(LEAST_BURST, cap * BURST_S)
             flow.tokens = min(most, flow.tokens + cap * (now - flow.at))
             flow.at = now
             if flow.tokens < 1.0:
-                return self._after_s()
+                return return_after_s(window_s, self._rng.random())
             flow.tokens -= 1.0
         return 0.0
 
-    def _after_s(self) -> float:
-        return RETRY_AFTER_S + RETRY_SPREAD_S * self._rng.random()
-
     def limit_of(self, route: str) -> tuple[float, float]:
         """Returns the calls a second that are let in of a limited route, and the limit's age."""
         return self._caps[route], self._clock() - self._caps_at
--- a/src/marjoramvalve/mesh/limiters.py
+++ b/src/marjoramvalve/mesh/limiters.py
@@ -25,8 +25,11 @@
 class Gate(Protocol):
     """Admission of root calls by what they cause further down."""
 
-    def admit(self, route: str) -> float:
-        """Returns 0 where a root call is let in, or seconds after which to come back."""
+    def admit(self, route: str, window_s: float) -> float:
+        """Returns 0 where a root call is let in, or seconds after which to come back.
+
+        `window_s` is the time in which it can begin and still be answered within its objective.
+        """
 
     def limit_of(self, route: str) -> tuple[float, float]:
         """Returns the calls a second that are let in of a limited route, and the limit's age."""
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -8,6 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from marjoramvalve.mesh.answers import JITTER
 from marjoramvalve.mesh.budgets import MOST, RATIO, START, RepeatBudget
 from marjoramvalve.mesh.gates import CAPS_LIFE_S, RootGate
 from marjoramvalve.mesh.knees import ENOUGH, FEW_EVERY_S, TRIAL_EVERY_S, Knee
@@ -374,6 +375,21 @@
                 let_in += rng.choice(gates).admit("r") == 0
         self.assertLess(abs(let_in / asked - 0.25), 0.03)
 
+    def test_refused_callers_come_back_while_an_answer_can_be_timely(self):
+        self.gate.set_caps({"r": 0.0})
+        self.admitted(2, 0.1)  # The least burst.
+        window_s = 1.0
+        after = [self.gate.admit("r", window_s) for _ in range(200)]
+        self.assertLess(max(after) * (1 + JITTER), window_s)
+        self.assertGreater(min(after), 0.2)
+        self.assertGreater(max(after) - min(after), 0.3)
+
+    def test_callers_without_time_for_a_timely_answer_come_back_later(self):
+        self.gate.set_caps({"r": 0.0})
+        self.admitted(2, 0.1)
+        after = [self.gate.admit("r", window_s) for window_s in (0.2, -1.0) for _ in range(100)]
+        self.assertGreaterEqual(min(after), 0.4)
+
     def test_caps_that_nobody_renews_no_longer_bind(self):
         self.gate.set_caps({"r": 0.0})
         self.admitted(10, 0.01)
