Count a call as ended whose caller leaves while its order is being recorded

Cause: such a call stayed counted as under way, and a planned stop waited its whole time for it. Shown by: test_orders.CallerTests.test_a_permission_that_comes_after_the_caller_has_left_is_not_used, which failed with one call left under way.

--- a/src/marjoramvalve/mesh/egress.py
+++ b/src/marjoramvalve/mesh/egress.py
@@ -436,10 +436,11 @@
         if call.order is not None and call.peer is not None:
             return  # Its answer is kept for when the caller sends it again.
         call.done = True
-        if call.peer is None:
-            return
+        if not call.service:
+            return  # It waits for its rate.
         self.under_way -= 1
-        call.peer.cancel(call, not call.repeatable)
+        if call.peer is not None:
+            call.peer.cancel(call, not call.repeatable)
         self.metrics.add("callers_gone", call.target.name)
 
     def _fail(self, call: Call, reason: Reason, status: int, detail: str) -> None:
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -334,9 +334,9 @@
                 await asyncio.sleep(0.005)
             item, on_outcome = orders.late.pop()
             on_outcome(orders.book.begin(item, 0.0, RETENTION_S))
-            return len(orders.book)
+            return len(orders.book), self.bench.nodes[0].egress.under_way
 
-        self.assertEqual(self.bench.run(run()), 0)
+        self.assertEqual(self.bench.run(run()), (0, 0))
         self.assertEqual(self.seen, [])
 
     def test_the_body_of_a_stored_answer_is_whole(self):
