Let chance decide between near places and between far ones, not on leaving a failure domain

Cause: chance of up to 0.3 in the cost of each place sent calls to another failure domain that had room nearby, and loads were forgotten within 0.1 s also where calls take longer.

Change: the best near place and the best far one are found by chance each, and compared without it; a load is forgotten over four usual calls of its route. The model's links tell loads with answers only, as real ones do.

--- a/src/marjoramvalve/mesh/places.py
+++ b/src/marjoramvalve/mesh/places.py
@@ -18,7 +18,7 @@
 SMOOTHING = 0.1  # Weight of a new answer in speed and failure rate.
 FAILURE_WEIGHT = 6.0  # An upstream that always fails costs as much as one seven times as slow.
 COLD_WEIGHT = 2.0  # Slowness taken for an upstream that has just started.
-NEWS_S = 0.1  # Time constant in which a reported load loses its weight: about a usual call.
+NEWS_CALLS = 4.0  # Usual calls in whose time a reported load loses its weight.
 SPREAD = 0.3  # Upstreams that cost this part more than the cheapest one get calls as well.
 LOAD_POWER = 6  # How sharply cost grows as the slots fill up.
 UNTRIED_SLOWNESS = 0.5  # Taken for one that has not answered yet, for a single call.
@@ -74,7 +74,7 @@
             slowness = UNTRIED_SLOWNESS
         elif self.cold:
             slowness = max(slowness, COLD_WEIGHT)
-        news = math.exp((self.reported_at - now) / NEWS_S)
+        news = math.exp((self.reported_at - now) / (NEWS_CALLS * service_s))
         others = news * self.others_use + (1.0 - news) * usual_use
         use = others + (self.own + 1) / max(1, self.limit)
         crowd = 1.0 + use**LOAD_POWER if use < 1 else 2.0 * use
@@ -117,16 +117,13 @@
 ) -> object | None:
     """Returns an item with one of the cheapest places, or None where there is none.
 
-    `chance` returns numbers from 0 to 1.
+    `chance` returns numbers from 0 to 1. It decides between near places and between far ones, not
+    whether a call leaves its failure domain.
     """
-    usual = {near: _usual_use([p for _, p in places if p.near is near]) for near in (True, False)}
-    best, best_cost = None, float("inf")
-    for item, place in places:
-        cost = place.cost_s(service_s, now, usual[place.near]) * (1.0 + SPREAD * chance())
-        if cost < best_cost:
-            best, best_cost = item, cost
-    return best
-
-
-def _usual_use(places: Sequence[Place]) -> float:
-    return sum(place.others_use for place in places) / len(places) if places else 0.0
+    found = []
+    for group in ([pair for pair in places if pair[1].near is near] for near in (True, False)):
+        if group:
+            usual_use = sum(place.others_use for _, place in group) / len(group)
+            costs = [(place.cost_s(service_s, now, usual_use), item) for item, place in group]
+            found.append(min(costs, key=lambda pair: pair[0] * (1.0 + SPREAD * chance())))
+    return min(found, key=lambda pair: pair[0])[1] if found else None
--- a/src/marjoramvalve/scenario/graphs.py
+++ b/src/marjoramvalve/scenario/graphs.py
@@ -160,13 +160,23 @@
             exchange.on_answer(answer)
 
 
+class _ModelPeer(OwnPeer):
+    """Another instance's ingress: its load is known from answers only."""
+
+    @property
+    def usable(self) -> bool:
+        """Tells whether the upstream takes calls."""
+        self.place.limit = max(1, self._ingress.limit)
+        return self._ingress.ready
+
+
 class _ModelEgress(Egress):
     """An egress whose links are plain calls."""
 
     def join(self, nodes: list["_Node"]) -> None:
         """Knows every ingress."""
         self.peers.hold(
-            [OwnPeer(node.name, node.service.name, node.ingress, self) for node in nodes]
+            [_ModelPeer(node.name, node.service.name, node.ingress, self) for node in nodes]
         )
 
 
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -13,7 +13,7 @@
 from marjoramvalve.mesh.gates import CAPS_LIFE_S, RootGate
 from marjoramvalve.mesh.knees import ENOUGH, FEW_EVERY_S, TRIAL_EVERY_S, Knee
 from marjoramvalve.mesh.knees import LIFE_S as KNEE_LIFE_S
-from marjoramvalve.mesh.places import MEMORY_S, NEWS_S, Place, RouteMeans, choose
+from marjoramvalve.mesh.places import MEMORY_S, NEWS_CALLS, Place, RouteMeans, choose
 from marjoramvalve.mesh.routes import RouteTable
 from marjoramvalve.mesh.waiting import FIRST_SERVICE_S, ServiceTimes, WaitingRoom
 from marjoramvalve.model import key_digest, validate_document
@@ -216,7 +216,7 @@
     def test_old_news_of_load_count_for_less(self):
         full, other = self.place(reported=9), self.place(reported=6)
         self.assertEqual(cheapest({"full": full, "other": other}, 0.0), "other")
-        later = 10 * NEWS_S
+        later = 10 * NEWS_CALLS * 0.05
         full.slowness = 0.9
         self.assertEqual(cheapest({"full": full, "other": other}, later), "full")
 
@@ -228,6 +228,14 @@
         self.assertEqual(counts[9], 0)
         self.assertLess(max(counts.values()), 2 * 1000 / 5)
 
+    def test_chance_sends_nothing_to_another_domain(self):
+        rng = random.Random(1)
+        near = [self.place(own=8) for _ in range(3)]
+        far = [self.place(near=False, own=0) for _ in range(6)]
+        places = [(place.near, place) for place in (*near, *far)]
+        chosen = {choose(places, 0.05, 0.0, rng.random) for _ in range(300)}
+        self.assertEqual(chosen, {True})
+
     def test_nothing_to_choose_from(self):
         self.assertIsNone(choose((), 0.05, 0.0, random.random))
 
