Decide by the best near place whether a call leaves its failure domain

Change: the cheapest of each side are compared; chance decides within the side.

Shown by: tests.test_mesh_decisions.PlaceTests.test_chance_sends_nothing_to_another_domain, which fails before with near places of which one is dearer than a far one.

--- a/src/marjoramvalve/mesh/places.py
+++ b/src/marjoramvalve/mesh/places.py
@@ -125,5 +125,6 @@
         if group:
             usual_use = sum(place.others_use for _, place in group) / len(group)
             costs = [(place.cost_s(service_s, now, usual_use), item) for item, place in group]
-            found.append(min(costs, key=lambda pair: pair[0] * (1.0 + SPREAD * chance())))
+            _, drawn = min(costs, key=lambda pair: pair[0] * (1.0 + SPREAD * chance()))
+            found.append((min(cost for cost, _ in costs), drawn))
     return min(found, key=lambda pair: pair[0])[1] if found else None
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -230,7 +230,7 @@
 
     def test_chance_sends_nothing_to_another_domain(self):
         rng = random.Random(1)
-        near = [self.place(own=8) for _ in range(3)]
+        near = [self.place(slowness=slowness) for slowness in (1.7, 2.15)]
         far = [self.place(near=False, own=0) for _ in range(6)]
         places = [(place.near, place) for place in (*near, *far)]
         chosen = {choose(places, 0.05, 0.0, rng.random) for _ in range(300)}
