Bound the mean service time of a route from below

Cause: the time in which a reported load is forgotten is a multiple of the route's mean, and the mean of calls that take less than a millisecond sinks to nothing: after some thousand of them the choice of an ingress divided by it. Found on reading the change.

Shown by: test_upstreams_that_answer_within_a_millisecond_can_be_chosen, which failed with ZeroDivisionError.

--- a/src/marjoramvalve/fleet/members.py
+++ b/src/marjoramvalve/fleet/members.py
@@ -90,7 +90,9 @@
         self._led_at = -1e9
         self._led_since = -1e9
         self._period_s = LEAST_PERIOD_S
+        # The controllers and their failure domains, as the other end of each link names them.
         self._lists: dict[Dialer, dict[str, str]] = {}
+        # Links on which a whole report has been sent, and whether it asked for the roster.
         self._introduced: dict[Dialer, bool] = {}
         self._nonce = 0
         self._task: asyncio.Task | None = None
@@ -229,6 +231,7 @@
         return not any(other.is_open and self._is_main(other) for other in self._dialers.values())
 
     def _is_main(self, dialer: Dialer) -> bool:
+        """Tells whether a link leads to the leader or to a controller nearby."""
         if dialer is self._leader and self._knows_leader():
             return True
         return any(
--- a/src/marjoramvalve/mesh/places.py
+++ b/src/marjoramvalve/mesh/places.py
@@ -24,6 +24,7 @@
 UNTRIED_SLOWNESS = 0.5  # Taken for one that has not answered yet, for a single call.
 TRIAL_SPREAD_S = 1.5  # Callers try a new upstream over this time: some usual calls.
 MEMORY_S = 3.0  # Speed and failures of an upstream that is avoided are forgotten in this time.
+LEAST_MEAN_S = 0.001  # As exactly as service times are told.
 LEAST_PART, MOST_PART = 0.2, 10.0  # One answer counts as this much faster or slower at most.
 
 
@@ -100,13 +101,13 @@
 
     def note(self, route: str, service_s: float) -> float:
         """Takes in a service time; returns it as a part of the mean so far."""
-        mean = self._means.get(route, service_s) or 0.001
+        mean = max(LEAST_MEAN_S, self._means.get(route, service_s))
         self._means[route] = mean + SMOOTHING / 2 * (service_s - mean)
         return service_s / mean
 
     def of(self, route: str) -> float:
-        """Returns the mean of a route."""
-        return self._means.get(route, 0.05)
+        """Returns the mean of a route; answers tell their times in milliseconds."""
+        return max(LEAST_MEAN_S, self._means.get(route, 0.05))
 
 
 def choose(
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -239,6 +239,13 @@
     def test_nothing_to_choose_from(self):
         self.assertIsNone(choose((), 0.05, 0.0, random.random))
 
+    def test_upstreams_that_answer_within_a_millisecond_can_be_chosen(self):
+        means = RouteMeans()
+        for _ in range(20_000):
+            means.note("r", 0.0)
+        places = (("a", self.place()), ("b", self.place()))
+        self.assertIn(choose(places, means.of("r"), 1.0, random.random), ("a", "b"))
+
     def test_means_compare_a_call_with_its_route(self):
         means = RouteMeans()
         self.assertAlmostEqual(means.note("r", 0.1), 1.0)
