Show what upstreams announce about themselves in logs and metrics

Nodes now log each change of the announced rate, the usage of it once a second, and an announced end; metrics show the rate, its age and the requests sent. Nothing acts on them yet.

--- a/src/marjoramvalve/h1/headers.py
+++ b/src/marjoramvalve/h1/headers.py
@@ -23,7 +23,8 @@
 
     `attempt` holds the ID of one attempt of a caller; upstreams echo it in their responses.
     `deadline` holds milliseconds. `not_run` in a response means that the upstream did not run the
-    request.
+    request. `rate_limit` in a response is how many requests per second the upstream accepts
+    from all instances together; `leaving` means that it is about to stop.
     """
 
     attempt: str = "Marjoramvalve-Request-Id"
@@ -35,6 +36,8 @@
     not_run: str = "Marjoramvalve-Run"
     load: str = "Marjoramvalve-Load"
     instance: str = "Marjoramvalve-Instance"
+    rate_limit: str = "Marjoramvalve-Rate-Limit"
+    leaving: str = "Marjoramvalve-Leaving"
 
     def lowered(self) -> dict[str, bytes]:
         """Returns the names in lower case, keyed by field."""
--- a/src/marjoramvalve/h1/upstreams.py
+++ b/src/marjoramvalve/h1/upstreams.py
@@ -31,7 +31,8 @@
     """A complete response.
 
     `head` holds the header lines to return to the caller. `not_run` is set if the upstream
-    declared that it did not run the request.
+    declared that it did not run the request. `rate_limits` holds the values of the headers in which
+    it announced a rate, and `leaving` the value of the one in which it announced that it will stop.
     """
 
     status: int
@@ -40,6 +41,8 @@
     not_run: bool
     load: bytes = b""
     instance: bytes = b""
+    rate_limits: tuple[bytes, ...] = ()
+    leaving: bytes = b""
 
 
 class ExchangeFailure(Enum):
@@ -105,6 +108,8 @@
         self._not_run = False
         self._load = b""
         self._instance = b""
+        self._rate_limits: list[bytes] = []
+        self._leaving = b""
         self._has_framing = False
         self._should_close = False
         self._keep_alive_s = MAX_IDLE_S + IDLE_MARGIN_S
@@ -214,6 +219,12 @@
             case "attempt":
                 self._attempt = value
                 self._header_lines.append(b"%b: %b\r\n" % (name, value))
+            case "rate_limit":
+                self._rate_limits.append(value)
+                self._header_lines.append(b"%b: %b\r\n" % (name, value))
+            case "leaving":
+                self._leaving = value
+                self._header_lines.append(b"%b: %b\r\n" % (name, value))
             case "not_run":
                 self._not_run = True
             case "load":
@@ -278,6 +289,8 @@
             self._not_run,
             self._load,
             self._instance,
+            tuple(self._rate_limits),
+            self._leaving,
         )
         self._discard_body()
         # Deferred until the rest of the received data is parsed: extra bytes after this response
@@ -310,7 +323,8 @@
         self._tasks: set[asyncio.Task] = set()
         lowered = names.lowered()
         self.fields_by_header = {
-            lowered[field]: field for field in ("attempt", "not_run", "load", "instance")
+            lowered[field]: field
+            for field in ("attempt", "not_run", "load", "instance", "rate_limit", "leaving")
         }
         self.fields_by_header |= {b"connection": "connection", b"keep-alive": "keep-alive"}
         self.fields_by_header |= {b"content-length": "framing", b"transfer-encoding": "framing"}
--- a/src/marjoramvalve/mesh/ingress.py
+++ b/src/marjoramvalve/mesh/ingress.py
@@ -6,6 +6,7 @@
 import structlog
 
 from marjoramvalve.h1 import Exchange, ExchangeFailure, HeaderNames, UpstreamPool, UpstreamResponse
+from marjoramvalve.mesh.announced_rates import AnnouncedRate
 from marjoramvalve.mesh.crashes import BrokenRun, CrashDetector
 from marjoramvalve.mesh.frames import ErrorCode
 from marjoramvalve.mesh.jobs import Job, RunStats, UpstreamState
@@ -23,6 +24,8 @@
 DEADLINE_GRACE_S = 0.1  # The upstream stops at the deadline by itself; after this it is cut off.
 MAX_LOGGED_RUNS = 5  # Requests listed when the upstream crashes; each also has its own log line.
 BODY_METHODS = (b"POST", b"PUT", b"PATCH")
+LEAVING_VALUE = b"1"
+RATE_USAGE_LOG_INTERVAL_S = 1.0
 
 log = structlog.get_logger("ingress")
 
@@ -54,6 +57,10 @@
         self._crash_detector = CrashDetector()
         self._is_checking_listener = False
         self.upstream_crashes = 0
+        self.sent_requests = 0
+        self.announced_rate = AnnouncedRate()
+        self.is_leaving = False
+        self._rate_usage_logged = (0.0, 0)  # When, and how many requests had been sent by then.
         self.quarantine = quarantine
         self.on_change = lambda: None
 
@@ -98,6 +105,8 @@
             self._shed_limit = float(state.slots)
             self.pool.drop_idle()
             self._unreachable_until = 0.0
+            self.announced_rate = AnnouncedRate()
+            self.is_leaving = False
             if previous.instance:
                 runs = self._crash_detector.take_before_restart(self._loop.time())
                 self._on_upstream_crash(runs, previous.instance, "restarted")
@@ -204,6 +213,8 @@
         )
         self.running[job.attempt] = job
         self._deadlines.add(job.deadline + DEADLINE_GRACE_S, lambda: self._expire(job))
+        self.sent_requests += 1
+        self._log_rate_usage(now)
         self.pool.send(job.exchange)
 
     def _refuse_if_quarantined(self, job: Job, now: float) -> bool:
@@ -248,6 +259,7 @@
     def _on_response(self, job: Job, response: UpstreamResponse) -> None:
         now = self._loop.time()
         service_s = now - job.started_at
+        self._record_announcements(job, response, now)
         if response.status == 421:
             log.warning("upstream.replaced", request=job.attempt, expected=self.state.instance)
             self.set_state(replace(self.state, ready=False))
@@ -270,6 +282,44 @@
             job.callbacks.job_completed(job, response, service_s)
             self._release(job)
 
+    def _record_announcements(self, job: Job, response: UpstreamResponse, now: float) -> None:
+        """Records what the upstream says about itself in a response."""
+        previous_per_s = self.announced_rate.per_s
+        if self.announced_rate.record(response.rate_limits, now):
+            log.info(
+                "upstream.rate_limit",
+                instance=self.state.instance,
+                request=job.attempt,
+                per_s=self.announced_rate.per_s,
+                previous_per_s=previous_per_s,
+                sent=self.sent_requests,
+            )
+        if response.leaving == LEAVING_VALUE and not self.is_leaving:
+            self.is_leaving = True
+            log.info(
+                "upstream.leaving",
+                instance=self.state.instance,
+                request=job.attempt,
+                sent=self.sent_requests,
+            )
+
+    def _log_rate_usage(self, now: float) -> None:
+        """Logs the rate of requests about once per second while the upstream announces a limit."""
+        logged_at, sent_requests = self._rate_usage_logged
+        if now < logged_at + RATE_USAGE_LOG_INTERVAL_S:
+            return
+        self._rate_usage_logged = (now, self.sent_requests)
+        if self.announced_rate.per_s is not None:
+            log.info(
+                "upstream.rate_usage",
+                instance=self.state.instance,
+                limit_per_s=self.announced_rate.per_s,
+                limit_age_s=round(now - self.announced_rate.changed_at, 2),
+                sent_per_s=round((self.sent_requests - sent_requests) / (now - logged_at), 1),
+                running=self._running_count,
+                waiting=len(self._queue),
+            )
+
     def _refuse_sent(self, job: Job, code: ErrorCode, retry_after_s: float) -> None:
         job.done = True
         job.callbacks.job_refused(job, code, retry_after_s)
--- a/src/marjoramvalve/mesh/nodes.py
+++ b/src/marjoramvalve/mesh/nodes.py
@@ -118,7 +118,14 @@
         metrics.set("upstream_ready", float(self.ingress.ready))
         metrics.set("upstream_connections_opened", self.ingress.pool.opened_connections)
         metrics.set("upstream_ends", self.ingress.upstream_crashes)
+        metrics.set("upstream_requests_sent", self.ingress.sent_requests)
+        metrics.set("upstream_leaving", float(self.ingress.is_leaving))
         now = asyncio.get_running_loop().time()
+        announced = self.ingress.announced_rate
+        is_announced = announced.per_s is not None
+        metrics.set("upstream_rate_limited", float(is_announced))
+        metrics.set("upstream_rate_limit", announced.per_s if is_announced else 0.0)
+        metrics.set("upstream_rate_limit_age_seconds", now - announced.changed_at)
         metrics.set("requests_watched", len(self.quarantine.table))
         metrics.set("requests_held", sum(1 for _ in self.quarantine.table.quarantined(now)))
         metrics.set("caller_connections", len(self.callers.connections))
