Add a failing test of upstreams that announce rate limits

In the model of the call graph, upstreams can announce how many requests a second they accept; the test checks the users' rule on what they get.

--- a/src/marjoramvalve/scenario/__init__.py
+++ b/src/marjoramvalve/scenario/__init__.py
@@ -3,6 +3,7 @@
 from marjoramvalve.scenario.deployments import DEPLOYMENTS, Deployment, Service
 from marjoramvalve.scenario.graphs import CallGraphSimulation
 from marjoramvalve.scenario.loads import (
+    AnnouncedLimits,
     FatalRequest,
     GraphResult,
     GraphRoute,
@@ -18,6 +19,7 @@
 
 __all__ = [
     "DEPLOYMENTS",
+    "AnnouncedLimits",
     "CallGraphSimulation",
     "Deployment",
     "FatalRequest",
--- a/src/marjoramvalve/scenario/graphs.py
+++ b/src/marjoramvalve/scenario/graphs.py
@@ -25,6 +25,7 @@
 from marjoramvalve.node import LoadMeter
 from marjoramvalve.retries import CrashedRun
 from marjoramvalve.scenario.loads import (
+    AnnouncedLimits,
     FatalRequest,
     GraphResult,
     GraphRoute,
@@ -85,8 +86,10 @@
                 exchange.on_failure, "refused", ExchangeFailure.NOT_SENT
             )
             return
+        arrivals = self._simulation.result.arrivals.setdefault(self._node.name, [])
+        arrivals.append(self._simulation.loop.time())
         if len(self._running) >= self._node.service.slots:
-            self._simulation.loop.call_soon(exchange.on_response, SHED_RESPONSE)
+            self._simulation.loop.call_soon(self._respond, exchange, SHED_RESPONSE)
             return
         if FATAL_PATH in exchange.raw:
             self._simulation.result.fatal_crashes += 1
@@ -161,7 +164,13 @@
             self._running.pop(exchange, None)
             if response is not SUCCESS_RESPONSE:
                 self._simulation.result.wasted[self._node.service.name] += 1
-            exchange.on_response(response)
+            self._respond(exchange, response)
+
+    def _respond(self, exchange, response: UpstreamResponse) -> None:
+        rate = self._simulation.announced_rate(self._node)
+        if rate is not None:
+            response = replace(response, rate_limits=(b"%g" % rate,))
+        exchange.on_response(response)
 
 
 class _IngressPeer(LocalPeer):
@@ -262,7 +271,9 @@
         fatal: FatalRequest | None = None,
         outages: tuple[Outage, ...] = (),
         grey: GreyFailure | None = None,
+        limits: tuple[AnnouncedLimits, ...] = (),
     ) -> None:
+        self._limits = limits
         self._fatal = fatal
         self._outages = outages
         self._grey = grey
@@ -294,6 +305,16 @@
                 slowdown *= surge.slowdown
         return route.work_s * slowdown * self.rng.uniform(0.5, 1.5)
 
+    def announced_rate(self, node: _Node) -> float | None:
+        """Returns the rate that the upstream of a node announces now, or None."""
+        now = self.loop.time()
+        index = int(node.name.rpartition("-")[2])
+        for item in self._limits:
+            is_affected = item.service == node.service.name and index < len(item.rates)
+            if is_affected and item.begin_s <= now < item.end_s:
+                return item.rates[index]
+        return None
+
     def draw_failure(self, service: str) -> bool:
         """Draws whether a run of a service fails because of a grey failure."""
         grey = self._grey
--- a/src/marjoramvalve/scenario/loads.py
+++ b/src/marjoramvalve/scenario/loads.py
@@ -71,6 +71,19 @@
     upstreams: int
 
 
+@dataclass(frozen=True)
+class AnnouncedLimits:
+    """A period in which upstreams of a service announce limits in requests per second.
+
+    `rates` holds the limit of each upstream in order; upstreams beyond its length announce none.
+    """
+
+    begin_s: float
+    end_s: float
+    service: str
+    rates: tuple[float, ...]
+
+
 @dataclass(frozen=True)
 class GreyFailure:
     """A service whose upstreams fail a share of their runs but otherwise appear healthy."""
@@ -102,7 +115,7 @@
 
     `retries` counts calls that arrive at an ingress after they, or a call above them in the chain,
     were sent before; `first_attempts` counts the others. `wasted` counts runs that ended in an
-    error.
+    error. `arrivals` holds the times of the requests that each upstream received.
     """
 
     tallies: dict[str, RouteTally]
@@ -113,6 +126,7 @@
     fatal_crashes: int = 0
     fatal_requests: int = 0
     quarantined: int = 0
+    arrivals: dict[str, list[float]] = field(default_factory=dict)
 
     def success_share(self, route: str) -> float:
         """Returns the share of a route's calls that succeeded."""
--- /dev/null
+++ b/tests/test_upstream_limits.py
@@ -0,0 +1,52 @@
+"""Upstreams that announce how many requests per second they accept: load on virtual time."""
+
+import unittest
+
+from marjoramvalve.scenario import AnnouncedLimits, CallGraphSimulation, GraphRoute, GraphService
+from marjoramvalve.telemetry import set_up_logs
+from tests.test_graphs import routes
+
+LENGTH_S = 24.0
+LIMITED_FROM_S, LIMITED_UNTIL_S = 4.0, 18.0
+# The users' rule on announced limits.
+WINDOW_S, EXCESS_FACTOR, EXCESS_REQUESTS, GRACE_S = 4.0, 1.5, 5, 3.0
+
+SERVICES = (
+    GraphService("catalogue", 45, (0.5, 1.0, 1.0, 1.5, 1.0)),
+    GraphService("ledger", 56, (0.7, 0.7, 1.6)),
+    GraphService("timber", 75, (1.0,)),
+    GraphService("bench", 19, (1.0,)),
+)
+SOME_LIMITED = AnnouncedLimits(LIMITED_FROM_S, LIMITED_UNTIL_S, "catalogue", (6.0, 15.0, 8.0, 4.0))
+ALL_LIMITED = AnnouncedLimits(
+    LIMITED_FROM_S, LIMITED_UNTIL_S, "catalogue", (1.0, 3.0, 2.0, 0.5, 5.0)
+)
+
+
+def most_in_window(times):
+    """Returns the largest number of these times in any window of the rule."""
+    return max((sum(at <= t < at + WINDOW_S for t in times) for at in times), default=0)
+
+
+class AnnouncedLimitTests(unittest.TestCase):
+    """Upstreams of `catalogue` announce limits for a while."""
+
+    def simulate(self, *limits, load=1.0, seed=1):
+        set_up_logs("critical", "test")
+        simulation = CallGraphSimulation(SERVICES, routes(load), seed=seed, limits=limits)
+        return simulation.run(LENGTH_S)
+
+    def check_limits(self, result, announced):
+        for index, rate in enumerate(announced.rates):
+            times = [
+                at
+                for at in result.arrivals[f"{announced.service}-{index}"]
+                if announced.begin_s + GRACE_S <= at < announced.end_s
+            ]
+            most = EXCESS_FACTOR * rate * WINDOW_S + EXCESS_REQUESTS
+            self.assertLessEqual(most_in_window(times), most, (index, rate))
+
+    def test_upstreams_get_no_more_requests_than_they_announce_to_accept(self):
+        for announced in (SOME_LIMITED, ALL_LIMITED):
+            with self.subTest(rates=announced.rates):
+                self.check_limits(self.simulate(announced), announced)
