Pace requests to an upstream at the rate that it announces

Cause: the header passed the ingress beside the upstream unread, and slots were the only limit that the ingress knew.

The ingress is where all requests to an upstream pass, from all instances, so it now keeps a token bucket at the announced rate: no message between instances, nothing that depends on controllers. Calls wait in its queue by rank and age, and are refused at once when they would wait for too long; when the rate falls, the queued ones are looked at again.

--- a/src/marjoramvalve/mesh/ingress.py
+++ b/src/marjoramvalve/mesh/ingress.py
@@ -6,7 +6,7 @@
 import structlog
 
 from marjoramvalve.h1 import Exchange, ExchangeFailure, HeaderNames, UpstreamPool, UpstreamResponse
-from marjoramvalve.mesh.announced_rates import AnnouncedRate
+from marjoramvalve.mesh.announced_rates import AnnouncedRateLimiter
 from marjoramvalve.mesh.crashes import BrokenRun, CrashDetector
 from marjoramvalve.mesh.frames import ErrorCode
 from marjoramvalve.mesh.jobs import Job, RunStats, UpstreamState
@@ -25,6 +25,7 @@
 MAX_LOGGED_RUNS = 5  # Requests listed when the upstream crashes; each also has its own log line.
 BODY_METHODS = (b"POST", b"PUT", b"PATCH")
 LEAVING_VALUE = b"1"
+MIN_PACING_DELAY_S = 0.001  # A timer that fires too early must not fire again immediately.
 RATE_USAGE_LOG_INTERVAL_S = 1.0
 
 log = structlog.get_logger("ingress")
@@ -58,7 +59,9 @@
         self._is_checking_listener = False
         self.upstream_crashes = 0
         self.sent_requests = 0
-        self.announced_rate = AnnouncedRate()
+        self.rate_limited_calls = 0
+        self._start_timer: asyncio.TimerHandle | None = None
+        self.rate_limiter = AnnouncedRateLimiter()
         self.is_leaving = False
         self._rate_usage_logged = (0.0, 0)  # When, and how many requests had been sent by then.
         self.quarantine = quarantine
@@ -105,7 +108,7 @@
             self._shed_limit = float(state.slots)
             self.pool.drop_idle()
             self._unreachable_until = 0.0
-            self.announced_rate = AnnouncedRate()
+            self.rate_limiter = AnnouncedRateLimiter()
             self.is_leaving = False
             if previous.instance:
                 runs = self._crash_detector.take_before_restart(self._loop.time())
@@ -161,22 +164,63 @@
             return
         if self._refuse_if_quarantined(job, now):
             return
-        service_s = self.service_times.mean_s(job.route)
-        if self._running_count < self.limit and not len(self._queue):
+        has_room = self._running_count < self.limit and not self.rate_limiter.wait_s(0, now)
+        if has_room and not len(self._queue):
             self._start(job, now)
             return
+        if not self._enqueue(job, now):
+            return
+        self._deadlines.add(self._useful_until(job), lambda: self._expire_waiting(job))
+        self._start_queued()
+
+    def _useful_until(self, job: Job) -> float:
+        """Returns until when it is useful to start a call.
+
+        Other services have already done work for the root of a sub-call, so a sub-call may wait
+        until its deadline instead of its objective.
+        """
+        ends_at = job.deadline if job.is_sub_call else job.objective_at
+        return ends_at - self.service_times.mean_s(job.route)
+
+    def _enqueue(self, job: Job, now: float) -> bool:
+        """Queues a call, or refuses it and returns False if it would wait for too long."""
         wait_s = self._expected_wait_s(job)
-        # Other services have already done work for the root of a sub-call, so a sub-call may wait
-        # until its deadline instead of its objective.
-        useful_until = (job.deadline if job.is_sub_call else job.objective_at) - service_s
-        if now + wait_s > useful_until:
+        if now + wait_s > self._useful_until(job):
+            self._log_rate_limited(job, wait_s, now)
             self._refuse(job, ErrorCode.BUSY, max(MIN_RETRY_AFTER_S, wait_s))
-            return
+            return False
+        service_s = self.service_times.mean_s(job.route)
         self._queue.push(job, job.rank, job.root_received_at, service_s)
-        self._deadlines.add(useful_until, lambda: self._expire_waiting(job))
+        return True
 
     def _expected_wait_s(self, job: Job) -> float:
-        return self._queue.expected_wait_s(job.rank, job.root_received_at, self.limit)
+        calls, work_s = self._queue.calls_ahead(job.rank, job.root_received_at)
+        return max(work_s / max(1, self.limit), self.rate_limiter.wait_s(calls, self._loop.time()))
+
+    def _log_rate_limited(self, job: Job, wait_s: float, now: float) -> None:
+        """Logs and counts the refusal of a call if the upstream announces a rate."""
+        if self.rate_limiter.per_s is None:
+            return
+        self.rate_limited_calls += 1
+        log.info(
+            "call.rate_limited",
+            request=job.attempt,
+            rank=job.rank,
+            instance=self.state.instance,
+            limit_per_s=self.rate_limiter.per_s,
+            limit_age_s=round(now - self.rate_limiter.changed_at, 2),
+            waiting=len(self._queue),
+            wait_s=round(wait_s, 3),
+        )
+
+    def _recheck_queued(self, now: float) -> None:
+        """Refuses the queued calls that would wait for too long at a changed rate."""
+        jobs = []
+        while (job := self._queue.pop()) is not None:
+            jobs.append(job)
+        for job in jobs:
+            self._enqueue(job, now)
+        self._start_queued()
 
     def _start(self, job: Job, now: float) -> None:
         left_ms = int((job.deadline - now - RESPONSE_TRANSIT_S) * 1000)
@@ -213,6 +257,7 @@
         )
         self.running[job.attempt] = job
         self._deadlines.add(job.deadline + DEADLINE_GRACE_S, lambda: self._expire(job))
+        self.rate_limiter.take(now)
         self.sent_requests += 1
         self._log_rate_usage(now)
         self.pool.send(job.exchange)
@@ -250,11 +295,20 @@
         self._start_queued()
 
     def _start_queued(self) -> None:
-        while self._running_count < self.limit and self.ready:
-            job = self._queue.pop()
-            if job is None:
+        while len(self._queue) and self._running_count < self.limit and self.ready:
+            now = self._loop.time()
+            wait_s = self.rate_limiter.wait_s(0, now)
+            if wait_s > 0:
+                self._start_queued_in(wait_s)
                 return
-            self._start(job, self._loop.time())
+            self._start(self._queue.pop(), now)
+
+    def _start_queued_in(self, delay_s: float) -> None:
+        if self._start_timer is not None:
+            self._start_timer.cancel()
+        self._start_timer = self._loop.call_later(
+            max(MIN_PACING_DELAY_S, delay_s), self._start_queued
+        )
 
     def _on_response(self, job: Job, response: UpstreamResponse) -> None:
         now = self._loop.time()
@@ -284,16 +338,17 @@
 
     def _record_announcements(self, job: Job, response: UpstreamResponse, now: float) -> None:
         """Records what the upstream says about itself in a response."""
-        previous_per_s = self.announced_rate.per_s
-        if self.announced_rate.record(response.rate_limits, now):
+        previous_per_s = self.rate_limiter.per_s
+        if self.rate_limiter.record(response.rate_limits, now):
             log.info(
                 "upstream.rate_limit",
                 instance=self.state.instance,
                 request=job.attempt,
-                per_s=self.announced_rate.per_s,
+                per_s=self.rate_limiter.per_s,
                 previous_per_s=previous_per_s,
                 sent=self.sent_requests,
             )
+            self._recheck_queued(now)
         if response.leaving == LEAVING_VALUE and not self.is_leaving:
             self.is_leaving = True
             log.info(
@@ -309,12 +364,12 @@
         if now < logged_at + RATE_USAGE_LOG_INTERVAL_S:
             return
         self._rate_usage_logged = (now, self.sent_requests)
-        if self.announced_rate.per_s is not None:
+        if self.rate_limiter.per_s is not None:
             log.info(
                 "upstream.rate_usage",
                 instance=self.state.instance,
-                limit_per_s=self.announced_rate.per_s,
-                limit_age_s=round(now - self.announced_rate.changed_at, 2),
+                limit_per_s=self.rate_limiter.per_s,
+                limit_age_s=round(now - self.rate_limiter.changed_at, 2),
                 sent_per_s=round((self.sent_requests - sent_requests) / (now - logged_at), 1),
                 running=self._running_count,
                 waiting=len(self._queue),
@@ -384,9 +439,9 @@
 
     def _expire_waiting(self, job: Job) -> None:
         if not job.done and job.exchange is None and self._queue.remove(job):
-            self._refuse(
-                job, ErrorCode.TOO_LATE, max(MIN_RETRY_AFTER_S, self._expected_wait_s(job))
-            )
+            wait_s = self._expected_wait_s(job)
+            self._log_rate_limited(job, wait_s, self._loop.time())
+            self._refuse(job, ErrorCode.TOO_LATE, max(MIN_RETRY_AFTER_S, wait_s))
 
     def _expire(self, job: Job) -> None:
         if job.done:
--- a/src/marjoramvalve/mesh/nodes.py
+++ b/src/marjoramvalve/mesh/nodes.py
@@ -118,10 +118,11 @@
         metrics.set("upstream_ready", float(self.ingress.ready))
         metrics.set("upstream_connections_opened", self.ingress.pool.opened_connections)
         metrics.set("upstream_ends", self.ingress.upstream_crashes)
+        metrics.set("upstream_rate_limited_calls", self.ingress.rate_limited_calls)
         metrics.set("upstream_requests_sent", self.ingress.sent_requests)
         metrics.set("upstream_leaving", float(self.ingress.is_leaving))
         now = asyncio.get_running_loop().time()
-        announced = self.ingress.announced_rate
+        announced = self.ingress.rate_limiter
         is_announced = announced.per_s is not None
         metrics.set("upstream_rate_limited", float(is_announced))
         metrics.set("upstream_rate_limit", announced.per_s if is_announced else 0.0)
--- a/src/marjoramvalve/mesh/queues.py
+++ b/src/marjoramvalve/mesh/queues.py
@@ -52,13 +52,19 @@
     def __len__(self) -> int:
         return len(self._heap) - len(self._removed)
 
-    def expected_wait_s(self, rank: int, began: float, slots: int) -> float:
-        """Returns the expected wait of a new call, in seconds."""
+    def calls_ahead(self, rank: int, began: float) -> tuple[int, float]:
+        """Returns how many calls go before a new one, and their total service time in seconds."""
         position = (rank, began)
-        work_s = 0.0
+        calls, work_s = 0, 0.0
         for item in self._heap:
             if item[:2] <= position and item[2] not in self._removed:
+                calls += 1
                 work_s += item[4]
+        return calls, work_s
+
+    def expected_wait_s(self, rank: int, began: float, slots: int) -> float:
+        """Returns the expected wait of a new call for a slot, in seconds."""
+        _, work_s = self.calls_ahead(rank, began)
         return work_s / max(1, slots)
 
     def push(self, job: object, rank: int, began: float, service_s: float) -> None:
