Heed upstreams that say they are leaving, also after a restart of their node

An upstream that leaves says so in each answer. Until its heartbeat or its deregistration came, which may be late or get lost, it got new calls (DRAIN once they came later than drainMs). And what an upstream had announced, the end or a rate, was known to the process beside it only: a restarted ingress sent to it again as if nothing had been said.

The ingress is the only way to its upstream, so it takes no call and refuses the queued ones as soon as an answer says so, before it passes the answer on. This holds until another start of the upstream shows: neither a late heartbeat nor an answer without the header brings it back. With each change the egresses are told; they remember it by the address of the ingress and tell it to the next process there when they connect, so it holds without controllers. Until it has seen an answer, an ingress that started after its upstream sends at most four requests and two a second more.

--- a/src/marjoramvalve/h1/upstreams.py
+++ b/src/marjoramvalve/h1/upstreams.py
@@ -392,12 +392,14 @@
         else:
             conn.abort()
 
-    def probe(self, raw: bytes, on_done: Callable[[str, int], None]) -> None:
-        """Runs a health check and calls `on_done` with the upstream's instance and slot count.
+    def probe(
+        self, raw: bytes, on_done: Callable[[UpstreamResponse | None, str, int], None]
+    ) -> None:
+        """Runs a health check and calls `on_done` with its response, instance and slot count.
 
-        The instance is empty if the upstream is not healthy. The load header holds the running
-        requests, the waiting requests and the slots, separated by commas; without it the slot
-        count is 0.
+        The response is None if there was none. The instance is empty if the upstream is not
+        healthy. The load header holds the running requests, the waiting requests and the slots,
+        separated by commas; without it the slot count is 0.
         """
         exchange = Exchange(
             raw, b"", True, False, lambda response: None, lambda detail, failure: None
@@ -406,10 +408,11 @@
         def on_response(response: UpstreamResponse) -> None:
             parts = response.load.split(b",")
             slots = int(parts[2]) if len(parts) == 3 and parts[2].strip().isdigit() else 0
-            on_done(response.instance.decode("latin-1") if response.status == 200 else "", slots)
+            instance = response.instance.decode("latin-1") if response.status == 200 else ""
+            on_done(response, instance, slots)
 
         exchange.on_response = on_response
-        exchange.on_failure = lambda detail, failure: on_done("", 0)
+        exchange.on_failure = lambda detail, failure: on_done(None, "", 0)
         self.send(exchange)
 
     def check_listening(self, on_done: Callable[[bool], None]) -> None:
--- a/src/marjoramvalve/mesh/announced_rates.py
+++ b/src/marjoramvalve/mesh/announced_rates.py
@@ -16,6 +16,8 @@
 # A rate is lifted by this many responses in a row without it, of which the last is this much later
 # than the last announcement: responses of concurrent requests may arrive in another order.
 RESPONSES_TO_LIFT, LIFT_DELAY_S = 2, 0.5
+# For an upstream that may have announced a rate before it was known here.
+ASSUMED_RATE_PER_S, ASSUMED_BURST = 2.0, 4.0
 
 
 def parse_rate(values: Sequence[bytes]) -> float | None:
@@ -31,7 +33,7 @@
 class AnnouncedRateLimiter:
     """Token bucket for the requests to one upstream, at the rate that the upstream announces.
 
-    `per_s` is the announced rate, or None if there is none. `changed_at` is when it last changed.
+    `per_s` is the rate that is kept to, None if there is none. It last changed at `changed_at`.
     Times are on the event loop's clock, in seconds.
     """
 
@@ -40,9 +42,30 @@
         self.changed_at = 0.0
         self._announced_at = 0.0
         self._responses_without = 0
+        self._is_assumed = False
         self._tokens = 0.0
         self._refilled_at = 0.0
 
+    @property
+    def announced_per_s(self) -> float | None:
+        """Returns the rate, unless it is only assumed."""
+        return None if self._is_assumed else self.per_s
+
+    def assume_low_rate(self, now: float) -> None:
+        """Limits requests until the first response shows whether a rate is announced."""
+        self._set_rate(ASSUMED_RATE_PER_S, now)
+        self._tokens = ASSUMED_BURST
+        self._is_assumed = True
+
+    def adopt(self, rate: float, now: float) -> None:
+        """Uses a rate that was announced to another process, unless a lower one is known."""
+        if self._is_assumed or self.per_s is None or rate < self.per_s:
+            tokens = self._tokens if self._is_assumed else 0.0
+            self._is_assumed = False
+            self._set_rate(rate, now)
+            self._tokens = min(tokens, self._burst())
+            self._announced_at = now
+
     def record(self, values: Sequence[bytes], now: float) -> bool:
         """Records the header values of a response; returns whether the rate has changed.
 
@@ -54,11 +77,12 @@
             self._responses_without = 0
         elif self.per_s is None or values:
             return False
-        else:
+        elif not self._is_assumed:
             self._responses_without += 1
             is_recent = now < self._announced_at + LIFT_DELAY_S
             if is_recent or self._responses_without < RESPONSES_TO_LIFT:
                 return False
+        self._is_assumed = False
         if rate == self.per_s:
             return False
         self._set_rate(rate, now)
@@ -74,6 +98,8 @@
             self._tokens = min(self._tokens, self._burst())
 
     def _burst(self) -> float:
+        if self._is_assumed:
+            return ASSUMED_BURST
         return max(MIN_BURST, self._refill_per_s() * BURST_S)
 
     def _refill_per_s(self) -> float:
--- /dev/null
+++ b/src/marjoramvalve/mesh/announcements.py
@@ -0,0 +1,173 @@
+"""What an upstream announces about itself in responses, for as long as it runs.
+
+An ingress that restarts beside an upstream knows nothing of earlier responses. Until it has seen
+one itself, it sends few requests, and goes by what the egresses remember of the earlier ones.
+"""
+
+from collections import OrderedDict
+
+import msgspec
+import structlog
+
+from marjoramvalve.h1 import UpstreamResponse
+from marjoramvalve.mesh.announced_rates import AnnouncedRateLimiter
+from marjoramvalve.mesh.frames import UpstreamNotice
+from marjoramvalve.mesh.jobs import UpstreamState
+
+LEAVING_VALUE = b"1"
+# An upstream that started so shortly before this process can't have announced a limit for long.
+FRESH_UPSTREAM_MS = 3000
+MAX_NOTICES = 16  # Incarnations of which an ingress keeps notices.
+MAX_ADDRESSES = 4096  # Addresses of which an egress keeps notices.
+
+log = structlog.get_logger("upstreams")
+
+
+def is_same_incarnation(
+    instance: str, started_at_ms: int, other: UpstreamState | UpstreamNotice
+) -> bool:
+    """Returns whether this is the same run of an upstream; a start time of 0 is unknown."""
+    return instance == other.instance and (
+        started_at_ms == other.started_at_ms or not (started_at_ms and other.started_at_ms)
+    )
+
+
+class UpstreamAnnouncements:
+    """The announcements of the upstream that runs now.
+
+    `node_started_at_ms` is the start time of this process in Unix milliseconds, 0 if unknown.
+    """
+
+    def __init__(self, node_started_at_ms: int = 0) -> None:
+        self._node_started_at_ms = node_started_at_ms
+        self._state = UpstreamState()
+        self._has_responded = False
+        self._notices: OrderedDict[tuple[str, int], UpstreamNotice] = OrderedDict()
+        self.rate_limiter = AnnouncedRateLimiter()
+        self.is_leaving = False
+
+    @property
+    def notice(self) -> UpstreamNotice:
+        """Returns the announcements in the form that other processes remember."""
+        state = self._state
+        return UpstreamNotice(
+            state.instance,
+            state.started_at_ms,
+            self.rate_limiter.announced_per_s,
+            self.is_leaving,
+        )
+
+    @property
+    def limits(self) -> tuple[bool, bool]:
+        """Returns whether the upstream announces a rate, and whether it is leaving."""
+        return self.rate_limiter.announced_per_s is not None, self.is_leaving
+
+    def set_state(self, state: UpstreamState, now: float) -> None:
+        """Forgets the announcements of an earlier upstream.
+
+        `now` is in seconds on the event loop's clock.
+        """
+        previous, self._state = self._state, state
+        if not state.instance or is_same_incarnation(state.instance, state.started_at_ms, previous):
+            return
+        self._has_responded = False
+        self.is_leaving = False
+        self.rate_limiter = AnnouncedRateLimiter()
+        fresh_since_ms = self._node_started_at_ms - FRESH_UPSTREAM_MS
+        if self._node_started_at_ms and state.started_at_ms < fresh_since_ms:
+            self.rate_limiter.assume_low_rate(now)
+        for notice in self._notices.values():
+            self._apply(notice, now)
+
+    def record(self, response: UpstreamResponse, request: bytes, now: float) -> bool:
+        """Records the announcements in a response; returns whether they have changed.
+
+        `request` is the request ID, for the log.
+        """
+        self._has_responded = True
+        previous = self.notice
+        is_changed = self.rate_limiter.record(response.rate_limits, now)
+        self.is_leaving = self.is_leaving or response.leaving.strip() == LEAVING_VALUE
+        return self._log_change(previous, request) or is_changed
+
+    def record_probe(self, response: UpstreamResponse, now: float) -> None:
+        """Records the rate in a response to a health check, which may lack it."""
+        if response.rate_limits:
+            self.rate_limiter.record(response.rate_limits, now)
+
+    def remember(self, notice: UpstreamNotice, now: float) -> bool:
+        """Records what an egress remembers; returns whether the announcements have changed."""
+        key = (notice.instance, notice.started_at_ms)
+        known = self._notices.pop(key, None)
+        if known is not None:
+            notice = merge_notices(known, notice)
+        self._notices[key] = notice
+        if len(self._notices) > MAX_NOTICES:
+            self._notices.popitem(last=False)
+        return self._apply(notice, now)
+
+    def _apply(self, notice: UpstreamNotice, now: float) -> bool:
+        state = self._state
+        if not state.instance or not is_same_incarnation(
+            state.instance, state.started_at_ms, notice
+        ):
+            return False
+        previous = self.notice
+        self.is_leaving = self.is_leaving or notice.is_leaving
+        if not self._has_responded and notice.rate_per_s is not None:
+            self.rate_limiter.adopt(notice.rate_per_s, now)
+        return self._log_change(previous, b"")
+
+    def _log_change(self, previous: UpstreamNotice, request: bytes) -> bool:
+        current = self.notice
+        if current == previous:
+            return False
+        log.info(
+            "upstream.announced",
+            instance=current.instance,
+            request=request,
+            limit_per_s=current.rate_per_s,
+            previous_per_s=previous.rate_per_s,
+            leaving=current.is_leaving,
+        )
+        return True
+
+
+def merge_notices(first: UpstreamNotice, second: UpstreamNotice) -> UpstreamNotice:
+    """Merges two notices of one incarnation: the lower rate, and leaving if either says so."""
+    rates = [item.rate_per_s for item in (first, second) if item.rate_per_s is not None]
+    return UpstreamNotice(
+        first.instance,
+        first.started_at_ms,
+        min(rates, default=None),
+        first.is_leaving or second.is_leaving,
+    )
+
+
+class UpstreamNotices:
+    """What an egress remembers of the upstreams beside other ingresses, by their address.
+
+    It outlives the links, as an ingress may come back after it was removed from the roster.
+    """
+
+    def __init__(self) -> None:
+        self._by_address: OrderedDict[str, UpstreamNotice] = OrderedDict()
+
+    def record(self, address: str, notice: UpstreamNotice) -> None:
+        """Records what an ingress tells; one that has just started may not know its upstream."""
+        if not notice.instance:
+            return
+        known = self._by_address.pop(address, None)
+        if known is not None and is_same_incarnation(known.instance, known.started_at_ms, notice):
+            is_leaving = known.is_leaving or notice.is_leaving
+            notice = msgspec.structs.replace(notice, is_leaving=is_leaving)
+        self._by_address[address] = notice
+        if len(self._by_address) > MAX_ADDRESSES:
+            self._by_address.popitem(last=False)
+
+    def recall(self, address: str) -> tuple[UpstreamNotice, ...]:
+        """Returns the notices of the upstream at an address that its ingress should know."""
+        notice = self._by_address.get(address)
+        if notice is None or (notice.rate_per_s is None and not notice.is_leaving):
+            return ()
+        return (notice,)
--- a/src/marjoramvalve/mesh/frames.py
+++ b/src/marjoramvalve/mesh/frames.py
@@ -37,12 +37,29 @@
     QUARANTINED = 11
 
 
+class UpstreamNotice(msgspec.Struct, frozen=True, array_like=True):
+    """What one run of an upstream has announced in its responses.
+
+    `started_at_ms` is its start in Unix milliseconds, 0 if unknown. `rate_per_s` is how many
+    requests per second it accepts, None if it has named no limit.
+    """
+
+    instance: str = ""
+    started_at_ms: int = 0
+    rate_per_s: float | None = None
+    is_leaving: bool = False
+
+
 class Hello(msgspec.Struct, frozen=True, array_like=True):
-    """Opens a stream for the calls of an egress. `session` identifies the egress process."""
+    """Opens a stream for the calls of an egress. `session` identifies the egress process.
+
+    `notices` tells what the egress remembers of upstreams at the ingress's address.
+    """
 
     session: int
     name: str
     domain: str
+    notices: tuple[UpstreamNotice, ...] = ()
 
 
 class Welcome(msgspec.Struct, frozen=True, array_like=True):
@@ -50,7 +67,7 @@
 
     `incarnation` identifies the ingress process. `ready` tells whether it accepts new requests,
     `limit` how many its upstream may run concurrently, and `cold` whether the upstream is
-    expected to be slow because it has just started.
+    expected to be slow because it has just started. `notice` tells what the upstream announces.
     """
 
     incarnation: int
@@ -58,6 +75,7 @@
     ready: bool
     limit: int
     cold: bool = False
+    notice: UpstreamNotice = UpstreamNotice()
 
 
 # call ID, time until the deadline, time until the objective, age of the root call, rank, flags,
--- a/src/marjoramvalve/mesh/ingress.py
+++ b/src/marjoramvalve/mesh/ingress.py
@@ -7,8 +7,9 @@
 
 from marjoramvalve.h1 import Exchange, ExchangeFailure, HeaderNames, UpstreamPool, UpstreamResponse
 from marjoramvalve.mesh.announced_rates import AnnouncedRateLimiter
+from marjoramvalve.mesh.announcements import UpstreamAnnouncements, is_same_incarnation
 from marjoramvalve.mesh.crashes import BrokenRun, CrashDetector
-from marjoramvalve.mesh.frames import ErrorCode
+from marjoramvalve.mesh.frames import ErrorCode, UpstreamNotice
 from marjoramvalve.mesh.jobs import Job, RunStats, UpstreamState
 from marjoramvalve.mesh.quarantines import Quarantine
 from marjoramvalve.mesh.queues import CallQueue, ServiceTimes
@@ -24,9 +25,9 @@
 DEADLINE_GRACE_S = 0.1  # The upstream stops at the deadline by itself; after this it is cut off.
 MAX_LOGGED_RUNS = 5  # Requests listed when the upstream crashes; each also has its own log line.
 BODY_METHODS = (b"POST", b"PUT", b"PATCH")
-LEAVING_VALUE = b"1"
 MIN_PACING_DELAY_S = 0.001  # A timer that fires too early must not fire again immediately.
 RATE_USAGE_LOG_INTERVAL_S = 1.0
+NOTICE_INTERVAL_S = 0.2  # Between changes of a rate that the egresses are told.
 
 log = structlog.get_logger("ingress")
 
@@ -35,7 +36,12 @@
     """Admits calls for one upstream and sends them to it."""
 
     def __init__(
-        self, names: HeaderNames, service: str, deadlines: DeadlineScheduler, quarantine: Quarantine
+        self,
+        names: HeaderNames,
+        service: str,
+        deadlines: DeadlineScheduler,
+        quarantine: Quarantine,
+        announcements: UpstreamAnnouncements | None = None,
     ) -> None:
         self._service = service
         self._is_probing = False
@@ -61,8 +67,9 @@
         self.sent_requests = 0
         self.rate_limited_calls = 0
         self._start_timer: asyncio.TimerHandle | None = None
-        self.rate_limiter = AnnouncedRateLimiter()
-        self.is_leaving = False
+        self.announcements = announcements or UpstreamAnnouncements()
+        self._told_limits = self.announcements.limits
+        self._notice_timer: asyncio.TimerHandle | None = None
         self._rate_usage_logged = (0.0, 0)  # When, and how many requests had been sent by then.
         self.quarantine = quarantine
         self.on_change = lambda: None
@@ -72,7 +79,17 @@
     @property
     def ready(self) -> bool:
         """Returns whether new calls are accepted."""
-        return self.state.ready and not self.stopping and not self._is_unreachable()
+        return (
+            self.state.ready
+            and not self.announcements.is_leaving
+            and not self.stopping
+            and not self._is_unreachable()
+        )
+
+    @property
+    def rate_limiter(self) -> AnnouncedRateLimiter:
+        """Returns the limiter for the rate that the upstream announces."""
+        return self.announcements.rate_limiter
 
     def _is_unreachable(self) -> bool:
         return self._unreachable_until > self._loop.time()
@@ -104,12 +121,12 @@
     def set_state(self, state: UpstreamState) -> None:
         """Applies the state announced by the upstream; refuses queued calls if it is not ready."""
         previous, self.state = self.state, state
-        if state.instance != previous.instance or state.started_at_ms != previous.started_at_ms:
+        self.announcements.set_state(state, self._loop.time())
+        self._told_limits = self.announcements.limits
+        if not is_same_incarnation(state.instance, state.started_at_ms, previous):
             self._shed_limit = float(state.slots)
             self.pool.drop_idle()
             self._unreachable_until = 0.0
-            self.rate_limiter = AnnouncedRateLimiter()
-            self.is_leaving = False
             if previous.instance:
                 runs = self._crash_detector.take_before_restart(self._loop.time())
                 self._on_upstream_crash(runs, previous.instance, "restarted")
@@ -137,10 +154,12 @@
         raw_request = b"GET %b HTTP/1.1\r\nHost: upstream\r\n\r\n" % path.encode()
         self.pool.probe(raw_request, self._on_probed)
 
-    def _on_probed(self, instance: str, slots: int) -> None:
+    def _on_probed(self, response: UpstreamResponse | None, instance: str, slots: int) -> None:
         self._is_probing = False
         if instance and slots and not self.state.instance:
             self.set_state(UpstreamState(instance, self._service, slots, True))
+            self.announcements.record_probe(response, self._loop.time())
+            self.on_change()
 
     def stop_accepting(self) -> None:
         """Refuses queued calls and all new ones."""
@@ -313,7 +332,8 @@
     def _on_response(self, job: Job, response: UpstreamResponse) -> None:
         now = self._loop.time()
         service_s = now - job.started_at
-        self._record_announcements(job, response, now)
+        if self.announcements.record(response, job.attempt, now):
+            self._on_announced(now)
         if response.status == 421:
             log.warning("upstream.replaced", request=job.attempt, expected=self.state.instance)
             self.set_state(replace(self.state, ready=False))
@@ -336,27 +356,30 @@
             job.callbacks.job_completed(job, response, service_s)
             self._release(job)
 
-    def _record_announcements(self, job: Job, response: UpstreamResponse, now: float) -> None:
-        """Records what the upstream says about itself in a response."""
-        previous_per_s = self.rate_limiter.per_s
-        if self.rate_limiter.record(response.rate_limits, now):
-            log.info(
-                "upstream.rate_limit",
-                instance=self.state.instance,
-                request=job.attempt,
-                per_s=self.rate_limiter.per_s,
-                previous_per_s=previous_per_s,
-                sent=self.sent_requests,
-            )
+    def apply_notices(self, notices: tuple[UpstreamNotice, ...]) -> None:
+        """Applies what an egress remembers of the announcements of the upstream."""
+        now = self._loop.time()
+        if [True for notice in notices if self.announcements.remember(notice, now)]:
+            self._on_announced(now)
+
+    def _on_announced(self, now: float) -> None:
+        """Rechecks the queue and tells the egresses, before the response is passed on.
+
+        Further changes of a rate are told to them at intervals.
+        """
+        if self.ready:
             self._recheck_queued(now)
-        if response.leaving == LEAVING_VALUE and not self.is_leaving:
-            self.is_leaving = True
-            log.info(
-                "upstream.leaving",
-                instance=self.state.instance,
-                request=job.attempt,
-                sent=self.sent_requests,
-            )
+        else:
+            self._refuse_queued(ErrorCode.NOT_READY)
+        if self._told_limits != self.announcements.limits:
+            self._told_limits = self.announcements.limits
+            self.on_change()
+        elif self._notice_timer is None:
+            self._notice_timer = self._loop.call_later(NOTICE_INTERVAL_S, self._tell_notice)
+
+    def _tell_notice(self) -> None:
+        self._notice_timer = None
+        self.on_change()
 
     def _log_rate_usage(self, now: float) -> None:
         """Logs the rate of requests about once per second while the upstream announces a limit."""
@@ -364,7 +387,7 @@
         if now < logged_at + RATE_USAGE_LOG_INTERVAL_S:
             return
         self._rate_usage_logged = (now, self.sent_requests)
-        if self.rate_limiter.per_s is not None:
+        if self.rate_limiter.announced_per_s is not None:
             log.info(
                 "upstream.rate_usage",
                 instance=self.state.instance,
--- a/src/marjoramvalve/mesh/nodes.py
+++ b/src/marjoramvalve/mesh/nodes.py
@@ -9,6 +9,7 @@
 
 from marjoramvalve.h1 import CallerServer, HeaderNames
 from marjoramvalve.links import Listener
+from marjoramvalve.mesh.announcements import UpstreamAnnouncements
 from marjoramvalve.mesh.egress import Egress
 from marjoramvalve.mesh.frames import Hello
 from marjoramvalve.mesh.ingress import Ingress
@@ -29,7 +30,8 @@
     """Options of a node. `drain_timeout_s` is the maximum duration of a planned stop.
 
     For the first `lame_duck_s` of it, the node serves as usual, because callers need time to notice
-    that it is stopping; after that it refuses new work.
+    that it is stopping; after that it refuses new work. `started_at_ms` is the start of this
+    process in Unix milliseconds, 0 if unknown.
     """
 
     name: str
@@ -41,6 +43,7 @@
     drain_timeout_s: float = 5.0
     lame_duck_s: float = 3.0
     names: HeaderNames = field(default_factory=HeaderNames)
+    started_at_ms: int = 0
 
 
 class MeshNode:
@@ -59,7 +62,13 @@
         self.incarnation = rng.getrandbits(62) | 1
         deadlines = DeadlineScheduler(loop)
         self.quarantine = Quarantine(options.names.customer)
-        self.ingress = Ingress(options.names, options.service, deadlines, self.quarantine)
+        self.ingress = Ingress(
+            options.names,
+            options.service,
+            deadlines,
+            self.quarantine,
+            UpstreamAnnouncements(options.started_at_ms),
+        )
         self.ingress.pool.set_address(options.upstream_address)
         hello = Hello(self.incarnation, options.name, options.domain)
         self.egress = Egress(
@@ -120,10 +129,10 @@
         metrics.set("upstream_ends", self.ingress.upstream_crashes)
         metrics.set("upstream_rate_limited_calls", self.ingress.rate_limited_calls)
         metrics.set("upstream_requests_sent", self.ingress.sent_requests)
-        metrics.set("upstream_leaving", float(self.ingress.is_leaving))
+        metrics.set("upstream_leaving", float(self.ingress.announcements.is_leaving))
         now = asyncio.get_running_loop().time()
         announced = self.ingress.rate_limiter
-        is_announced = announced.per_s is not None
+        is_announced = announced.announced_per_s is not None
         metrics.set("upstream_rate_limited", float(is_announced))
         metrics.set("upstream_rate_limit", announced.per_s if is_announced else 0.0)
         metrics.set("upstream_rate_limit_age_seconds", now - announced.changed_at)
--- a/src/marjoramvalve/mesh/peers.py
+++ b/src/marjoramvalve/mesh/peers.py
@@ -9,6 +9,7 @@
 
 from marjoramvalve.h1 import UpstreamResponse
 from marjoramvalve.links import FrameStream, connect_stream
+from marjoramvalve.mesh.announcements import UpstreamNotices
 from marjoramvalve.mesh.balancing import EndpointStats
 from marjoramvalve.mesh.frames import (
     CALL_ID,
@@ -177,11 +178,13 @@
         hello: Hello,
         callbacks: PeerCallbacks,
         trial_delay_s: float,
+        notices: UpstreamNotices,
     ) -> None:
         super().__init__(name, service, same_domain, callbacks)
         self.address = address
         self._trial_delay_s = trial_delay_s
-        self._hello = msgspec.msgpack.encode(hello)
+        self._hello = hello
+        self._notices = notices
         self._loop = asyncio.get_running_loop()
         self._stream: FrameStream | None = None
         self._welcome: Welcome | None = None
@@ -267,8 +270,9 @@
     # Stream
 
     def stream_opened(self, stream: FrameStream) -> None:
-        """Identifies this egress to the ingress."""
-        stream.send(FrameType.HELLO, self._hello)
+        """Identifies this egress to the ingress and tells what it remembers of its upstream."""
+        hello = msgspec.structs.replace(self._hello, notices=self._notices.recall(self.address))
+        stream.send(FrameType.HELLO, msgspec.msgpack.encode(hello))
 
     def stream_closed(self, stream: FrameStream) -> None:
         """Starts to reconnect, unless the peer is closed."""
@@ -291,6 +295,7 @@
 
     def _on_welcome(self, stream: FrameStream, welcome: Welcome) -> None:
         previous, self._welcome = self._welcome, welcome
+        self._notices.record(self.address, welcome.notice)
         if previous is None or not previous.ready:
             self.stats.first_trial_at = self._loop.time() + self._trial_delay_s
         self.stats.limit = max(1, welcome.limit)
--- a/src/marjoramvalve/mesh/peersets.py
+++ b/src/marjoramvalve/mesh/peersets.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable
 
+from marjoramvalve.mesh.announcements import UpstreamNotices
 from marjoramvalve.mesh.balancing import TRIAL_SPREAD_S
 from marjoramvalve.mesh.calls import Call
 from marjoramvalve.mesh.frames import Hello
@@ -32,6 +33,7 @@
         self._callbacks = callbacks
         self._on_unresponsive = on_unresponsive
         self.local = local
+        self._notices = UpstreamNotices()
         self.remote: dict[str, RemotePeer] = {}
         self._retired: dict[str, RemotePeer] = {}
         self._by_service: dict[str, list[Peer]] = {local.service: [local]}
@@ -74,7 +76,14 @@
                     peer.close()
                 delay_s = TRIAL_SPREAD_S * self._rng.random()
                 peer = RemotePeer(
-                    name, service, address, same_domain, self._hello, self._callbacks, delay_s
+                    name,
+                    service,
+                    address,
+                    same_domain,
+                    self._hello,
+                    self._callbacks,
+                    delay_s,
+                    self._notices,
                 )
                 peer.start()
             self.remote[address] = peer
--- a/src/marjoramvalve/mesh/sessions.py
+++ b/src/marjoramvalve/mesh/sessions.py
@@ -146,7 +146,14 @@
         ingress = self.ingress
         cold = ingress.state.cold_until_s > self.loop.time()
         return msgspec.msgpack.encode(
-            Welcome(self.incarnation, self._service, ingress.ready, ingress.limit, cold)
+            Welcome(
+                self.incarnation,
+                self._service,
+                ingress.ready,
+                ingress.limit,
+                cold,
+                ingress.announcements.notice,
+            )
         )
 
     # Streams
@@ -189,6 +196,7 @@
             session.stream.abort()  # Frames in flight on the old stream are no longer read.
         session.stream = stream
         stream.owner_data = session
+        self.ingress.apply_notices(hello.notices)
         stream.send(FrameType.WELCOME, self._welcome_payload())
 
     def _on_request(self, session: Session, payload: bytes) -> None:
--- a/tests/meshes.py
+++ b/tests/meshes.py
@@ -220,15 +220,25 @@
         options = MeshOptions(
             name, "d", service, free_address(), free_address(), upstream.address, 2.0, 0.1
         )
+        node = await self._start_node(options, len(self.nodes), doc)
+        self.nodes.append(node)
+        self.upstreams.append(upstream)
+        self.set_upstream_state(node, f"i-{name}", slots)
+        return node
+
+    async def restart_node(self, node) -> MeshNode:
+        """Starts another process of a closed node; its upstream has not announced itself yet."""
+        number = self.nodes.index(node)
+        self.nodes[number] = await self._start_node(node.options, 100 + number, None)
+        return self.nodes[number]
+
+    async def _start_node(self, options, seed, doc) -> MeshNode:
         root_call_limiter = RootCallLimiter(asyncio.get_running_loop().time, random.Random(1))
-        rng = random.Random(len(self.nodes))
+        rng = random.Random(seed)
         node = MeshNode(options, UnlimitedLimiter(), root_call_limiter, self.orders, rng)
         node.egress.is_config_confirmed = lambda: True
         await node.start()
         node.apply_config(1, doc or make_document())
-        self.nodes.append(node)
-        self.upstreams.append(upstream)
-        self.set_upstream_state(node, f"i-{name}", slots)
         return node
 
     def set_upstream_state(self, node, instance, slots=4, ready=True, started_at_ms=1):
--- a/tests/test_upstream_announcements.py
+++ b/tests/test_upstream_announcements.py
@@ -1,9 +1,14 @@
 """What an upstream says about itself in its responses: its rate limit, and that it is leaving."""
 
+import asyncio
 import unittest
 
+from marjoramvalve.h1 import UpstreamResponse
+from marjoramvalve.mesh import UpstreamState
 from marjoramvalve.mesh.announced_rates import parse_rate
-from tests.meshes import ok_response
+from marjoramvalve.mesh.announcements import UpstreamAnnouncements, UpstreamNotices
+from marjoramvalve.mesh.frames import UpstreamNotice
+from tests.meshes import header_value, ok_response
 from tests.test_mesh import MeshTestCase
 
 
@@ -55,3 +60,168 @@
         metrics = self.read_metrics("Marjoramvalve-Leaving: 1\r\n")
         self.assertRegex(metrics, r"upstream_leaving 1(\.0)?\n")
         self.assertRegex(metrics, r"upstream_rate_limited 0(\.0)?\n")
+
+
+LEAVING = "Marjoramvalve-Leaving: 1\r\n"
+
+
+class LeavingUpstreamTests(MeshTestCase):
+    """An upstream that has said in a response that it is leaving."""
+
+    async def leave(self):
+        """Returns a caller that has passed on such a response, and the upstream's node."""
+        caller = await self.connect_pair(announcing([LEAVING]))
+        status, head, _ = await caller.request("/read/", "a1")
+        self.assertEqual((status, header_value(head, "Marjoramvalve-Leaving")), (200, "1"))
+        return caller, self.bench.nodes[1]
+
+    def request_after(self, change):
+        """Returns the status of a call after a change of the node, a function of it."""
+
+        async def play():
+            caller, node = await self.leave()
+            await change(node)
+            return (await caller.request("/read/", "a2"))[0]
+
+        return self.bench.run(play())
+
+    def test_it_gets_no_further_calls(self):
+        async def nothing(node):
+            pass
+
+        self.assertEqual(self.request_after(nothing), 503)
+        self.assertEqual(len(self.received_requests), 1)
+
+    def test_its_queued_calls_are_refused(self):
+        release = asyncio.Event()
+
+        async def respond(request, writer):
+            await release.wait()
+            writer.write(ok_response(request, extra=LEAVING))
+
+        async def play():
+            caller = await self.connect_pair(respond, slots=1)
+            other = await self.bench.connect_caller(self.bench.nodes[0])
+            caller.send("/read/", "a1")
+            while not self.received_requests:
+                await asyncio.sleep(0.005)
+            other.send("/read/", "a2")
+            while not self.bench.nodes[1].ingress.load[1]:
+                await asyncio.sleep(0.005)
+            release.set()
+            return (await caller.read_response())[0], (await other.read_response())[0]
+
+        self.assertEqual(self.bench.run(play()), (200, 503))
+        self.assertEqual(len(self.received_requests), 1)
+
+    def test_a_late_heartbeat_does_not_bring_it_back(self):
+        async def announce(node):
+            self.bench.set_upstream_state(node, "i-n1")
+
+        self.assertEqual(self.request_after(announce), 503)
+        self.assertEqual(len(self.received_requests), 1)
+
+    def test_another_start_at_its_address_is_used(self):
+        async def announce(node):
+            self.bench.set_upstream_state(node, "i-n1", started_at_ms=2)
+            peer = next(iter(self.bench.nodes[0].egress.peers.remote.values()))
+            while not peer.usable:
+                await asyncio.sleep(0.005)
+
+        self.assertEqual(self.request_after(announce), 200)
+
+    def restart_ingress(self, started_at_ms):
+        """Restarts the node of the upstream, which then announces itself; returns the status."""
+
+        async def play():
+            caller, node = await self.leave()
+            await node.close()
+            peer = next(iter(self.bench.nodes[0].egress.peers.remote.values()))
+            while peer._stream is not None:
+                await asyncio.sleep(0.005)
+            restarted = await self.bench.restart_node(node)
+            self.bench.set_upstream_state(restarted, "i-n1", started_at_ms=started_at_ms)
+            while peer._stream is None:
+                await asyncio.sleep(0.005)
+            return (await caller.request("/read/", "a2"))[0]
+
+        return self.bench.run(play())
+
+    def test_it_is_not_used_again_after_a_restart_of_its_node(self):
+        self.assertEqual(self.restart_ingress(started_at_ms=1), 503)
+        self.assertEqual(len(self.received_requests), 1)
+
+    def test_another_start_is_used_after_a_restart_of_its_node(self):
+        self.assertEqual(self.restart_ingress(started_at_ms=2), 200)
+
+
+class RestartedIngressTests(unittest.TestCase):
+    """Announcements that an ingress process has not seen itself."""
+
+    def announcements(self, started_at_ms=1000, node_started_at_ms=90_000):
+        announcements = UpstreamAnnouncements(node_started_at_ms)
+        announcements.set_state(UpstreamState("i-1", "s", 4, True, started_at_ms), 0.0)
+        return announcements
+
+    def sendable(self, announcements):
+        """Returns how many requests may be sent at once, at most 50."""
+        sent = 0
+        while sent < 50 and announcements.rate_limiter.wait_s(0, 0.0) == 0:
+            announcements.rate_limiter.take(0.0)
+            sent += 1
+        return sent
+
+    def test_few_requests_are_sent_before_the_first_response(self):
+        self.assertLess(self.sendable(self.announcements()), 5)
+
+    def test_the_first_response_without_a_rate_lifts_this(self):
+        announcements = self.announcements()
+        announcements.record(UpstreamResponse(200, b"", b"", False), b"a1", 0.1)
+        self.assertIsNone(announcements.rate_limiter.per_s)
+
+    def test_an_upstream_that_has_just_started_gets_requests_immediately(self):
+        self.assertEqual(self.sendable(self.announcements(started_at_ms=89_000)), 50)
+
+    def test_the_lowest_rate_that_egresses_remember_is_kept_to(self):
+        announcements = self.announcements()
+        for rate in (7.0, 3.0, 5.0):
+            announcements.remember(UpstreamNotice("i-1", 1000, rate), 0.0)
+        self.assertEqual(announcements.rate_limiter.per_s, 3.0)
+
+    def test_notices_that_come_before_the_heartbeat_count(self):
+        announcements = UpstreamAnnouncements()
+        announcements.remember(UpstreamNotice("i-1", 1000, 3.0, True), 0.0)
+        announcements.set_state(UpstreamState("i-1", "s", 4, True, 1000), 1.0)
+        self.assertEqual((announcements.rate_limiter.per_s, announcements.is_leaving), (3.0, True))
+
+    def test_notices_of_another_upstream_do_not_count(self):
+        announcements = self.announcements(node_started_at_ms=0)
+        announcements.remember(UpstreamNotice("i-0", 500, 3.0, True), 0.0)
+        announcements.remember(UpstreamNotice("i-1", 999, 3.0, True), 0.0)
+        self.assertEqual(
+            (announcements.rate_limiter.per_s, announcements.is_leaving), (None, False)
+        )
+
+    def test_own_responses_are_newer_than_what_egresses_remember(self):
+        announcements = self.announcements()
+        announcements.record(UpstreamResponse(200, b"", b"", False), b"a1", 0.1)
+        announcements.remember(UpstreamNotice("i-1", 1000, 3.0), 0.2)
+        self.assertIsNone(announcements.rate_limiter.per_s)
+
+
+class UpstreamNoticesTests(unittest.TestCase):
+    """What an egress remembers of the upstreams beside other ingresses."""
+
+    def test_an_ingress_that_does_not_know_its_upstream_yet_erases_nothing(self):
+        notices = UpstreamNotices()
+        told = UpstreamNotice("i-1", 1, 4.0, True)
+        notices.record("a:1", told)
+        notices.record("a:1", UpstreamNotice())
+        notices.record("a:1", UpstreamNotice("i-1", 1, 4.0, False))
+        self.assertEqual(notices.recall("a:1"), (told,))
+
+    def test_another_start_replaces_it(self):
+        notices = UpstreamNotices()
+        notices.record("a:1", UpstreamNotice("i-1", 1, 4.0, True))
+        notices.record("a:1", UpstreamNotice("i-1", 2))
+        self.assertEqual(notices.recall("a:1"), ())
