Place calls by the rates that upstreams announce

Cause: the choice of an ingress weighs slots, and an upstream that is kept far below its slots looks idle.

An ingress tells its egresses the announced rate; calls beyond those that run at this rate cost the time until their turn. An idle upstream still costs what it did, so near ones go before another failure domain.

--- a/src/marjoramvalve/mesh/balancing.py
+++ b/src/marjoramvalve/mesh/balancing.py
@@ -13,6 +13,8 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
+from marjoramvalve.mesh.announced_rates import MIN_RATE_PER_S
+
 CROSS_DOMAIN_FACTOR = 1.0  # Extra cost of another failure domain, relative to the service time...
 CROSS_DOMAIN_S = 0.004  # ...and in seconds, for the round trip and the traffic between domains.
 SMOOTHING = 0.1  # Weight of a new answer in slowness and failure rate.
@@ -33,6 +35,7 @@
     """Load, speed and failure rate of one ingress as an egress sees it.
 
     `in_flight` counts this egress's own calls. `first_trial_at` is when the trial call is due.
+    `rate_per_s` is how many requests per second the upstream accepts, None if it names no limit.
     Times are of the event loop's clock.
     """
 
@@ -47,6 +50,7 @@
     last_answer_at: float | None = None
     first_trial_at: float = 0.0
     reported_at: float = 0.0
+    rate_per_s: float | None = None
 
     def record_load(self, running: int, waiting: int, now: float) -> None:
         """Records the load reported with an answer."""
@@ -59,6 +63,14 @@
         """Returns the fraction of the slots used by other callers at the last report."""
         return max(0, self.reported_load - self.in_flight_at_report) / max(1, self.limit)
 
+    def _pacing_delay_s(self, others: float, service_s: float) -> float:
+        """Returns how long a call waits for its turn at the announced rate, in seconds."""
+        if self.rate_per_s is None:
+            return 0.0
+        rate_per_s = max(MIN_RATE_PER_S, self.rate_per_s)
+        calls_at_rate = min(float(self.limit), max(1.0, rate_per_s * service_s))
+        return max(0.0, others + self.in_flight + 1 - calls_at_rate) / rate_per_s
+
     def record_answer(self, ratio_to_mean: float, failed: bool, now: float) -> None:
         """Records the service time of an answer, relative to the mean of its route."""
         ratio = min(MAX_RATIO, max(MIN_RATIO, ratio_to_mean))
@@ -87,7 +99,11 @@
         congestion = (
             1.0 + utilization**UTILIZATION_EXPONENT if utilization < 1 else 2.0 * utilization
         )
-        cost = service_s * slowness * congestion * (1.0 + FAILURE_WEIGHT * failure_rate)
+        delay_s = self._pacing_delay_s(
+            report_weight * self.utilization_by_others * self.limit, service_s
+        )
+        expected_s = service_s * slowness * congestion + delay_s
+        cost = expected_s * (1.0 + FAILURE_WEIGHT * failure_rate)
         return cost if self.is_local else cost * (1.0 + CROSS_DOMAIN_FACTOR) + CROSS_DOMAIN_S
 
 
--- a/src/marjoramvalve/mesh/peers.py
+++ b/src/marjoramvalve/mesh/peers.py
@@ -106,6 +106,7 @@
     def usable(self) -> bool:
         """Returns whether the local upstream accepts calls."""
         self.stats.limit = max(1, self._ingress.limit)
+        self.stats.rate_per_s = self._ingress.rate_limiter.announced_per_s
         self.stats.record_load(*self._ingress.load, self._loop.time())
         return self._ingress.ready
 
@@ -300,6 +301,7 @@
             self.stats.first_trial_at = self._loop.time() + self._trial_delay_s
         self.stats.limit = max(1, welcome.limit)
         self.stats.cold = welcome.cold
+        self.stats.rate_per_s = welcome.notice.rate_per_s
         if self._stream is stream:
             return
         self._stream = stream
--- a/tests/test_mesh_decisions.py
+++ b/tests/test_mesh_decisions.py
@@ -236,6 +236,27 @@
         self.assertEqual(self.pick(near=near, new=EndpointStats(True, 10, cold=True)), "new")
         self.assertEqual(self.pick(near=near, new=EndpointStats(False, 10)), "near")
 
+    def limited(self, rate_per_s, **options):
+        endpoint = self.endpoint(limit=45, **options)
+        endpoint.rate_per_s = rate_per_s
+        return endpoint
+
+    def test_a_busy_upstream_that_announces_a_rate_is_avoided(self):
+        busy = self.limited(4.0, in_flight=2)
+        self.assertEqual(self.pick(limited=busy, other=self.endpoint(limit=45)), "other")
+
+    def test_an_idle_upstream_that_announces_a_rate_is_used_before_another_domain(self):
+        far = self.endpoint(is_local=False, limit=45)
+        self.assertEqual(self.pick(limited=self.limited(4.0), far=far), "limited")
+
+    def test_calls_waiting_at_different_rates_are_compared_by_time(self):
+        slow, fast = self.limited(2.0, in_flight=2), self.limited(20.0, in_flight=6)
+        self.assertEqual(self.pick(slow=slow, fast=fast), "fast")
+
+    def test_a_rate_above_what_the_slots_serve_changes_nothing(self):
+        endpoint, unlimited = self.limited(1e6, in_flight=9), self.endpoint(limit=45, in_flight=9)
+        self.assertEqual(endpoint.cost_s(0.1, 0.0, 0.1), unlimited.cost_s(0.1, 0.0, 0.1))
+
     def test_old_load_reports_lose_weight(self):
         full, other = self.endpoint(reported_load=9), self.endpoint(reported_load=6)
         self.assertEqual(cheapest({"full": full, "other": other}, 0.0), "other")
--- a/tests/test_upstream_limits.py
+++ b/tests/test_upstream_limits.py
@@ -4,7 +4,7 @@
 
 from marjoramvalve.scenario import AnnouncedLimits, CallGraphSimulation, GraphService
 from marjoramvalve.telemetry import set_up_logs
-from tests.test_graphs import routes
+from tests.test_graphs import GOODPUT, HIGH_SUCCESS, routes
 
 LENGTH_S = 24.0
 LIMITED_FROM_S, LIMITED_UNTIL_S = 4.0, 18.0
@@ -31,9 +31,11 @@
 class AnnouncedLimitTests(unittest.TestCase):
     """Upstreams of `catalogue` announce limits for a while."""
 
-    def simulate(self, *limits, load=1.0, seed=1):
+    def simulate(self, *limits, seed=1, with_plan=True):
         set_up_logs("critical", "test")
-        simulation = CallGraphSimulation(SERVICES, routes(load), seed=seed, limits=limits)
+        simulation = CallGraphSimulation(
+            SERVICES, routes(1.0), seed=seed, limits=limits, with_plan=with_plan
+        )
         return simulation.run(LENGTH_S)
 
     def check_limits(self, result, announced):
@@ -51,3 +53,15 @@
 
     def test_a_whole_service_gets_no_more_requests_than_it_announces_to_accept(self):
         self.check_limits(self.simulate(ALL_LIMITED), ALL_LIMITED)
+
+    def test_calls_find_the_upstreams_that_have_room(self):
+        result = self.simulate(SOME_LIMITED)
+        for route in result.tallies:
+            self.assertGreaterEqual(result.success_share(route), HIGH_SUCCESS, route)
+
+    def test_upstreams_get_nearly_as_much_as_they_accept_while_there_is_demand(self):
+        result = self.simulate(ALL_LIMITED)
+        begin_s, end_s = ALL_LIMITED.begin_s + GRACE_S, ALL_LIMITED.end_s
+        for index, rate in enumerate(ALL_LIMITED.rates):
+            times = [at for at in result.arrivals[f"catalogue-{index}"] if begin_s <= at < end_s]
+            self.assertGreaterEqual(len(times) + 1, GOODPUT * rate * (end_s - begin_s), index)
