--- a/src/marjoramvalve/mesh/ingress.py
+++ b/src/marjoramvalve/mesh/ingress.py
@@ -190,7 +190,8 @@
         if not self._enqueue(job, now):
             return
         self._deadlines.add(self._useful_until(job), lambda: self._expire_waiting(job))
-        self._start_queued()
+        if self.rate_limiter.per_s is not None:  # Otherwise the next free slot starts it.
+            self._start_queued()
 
     def _useful_until(self, job: Job) -> float:
         """Returns until when it is useful to start a call.
