Keep announcements with the upstream that made them

Two ways in which an upstream could be taken for another one: a 421 comes from another upstream at the address, and its rate limit and its leaving were taken for those of the one that was known; and after a restart of a node, what egresses remembered of an earlier start under the same name stuck to the new one when its start time was not known at first. The first would have kept a sound upstream out until its next start, the second as well.

Announcements in a 421 are not recorded; what egresses remember is compared with the upstream again when its start time is known. Both tests failed before.

--- a/src/marjoramvalve/mesh/announcements.py
+++ b/src/marjoramvalve/mesh/announcements.py
@@ -43,8 +43,21 @@
         self._state = UpstreamState()
         self._has_responded = False
         self._notices: OrderedDict[tuple[str, int], UpstreamNotice] = OrderedDict()
+        self._has_said_leaving = False
         self.rate_limiter = AnnouncedRateLimiter()
-        self.is_leaving = False
+
+    @property
+    def is_leaving(self) -> bool:
+        """Returns whether the upstream has said that it is leaving, here or to an egress."""
+        return self._has_said_leaving or any(
+            notice.is_leaving for notice in self._notices.values() if self._is_current(notice)
+        )
+
+    def _is_current(self, notice: UpstreamNotice) -> bool:
+        state = self._state
+        return bool(state.instance) and is_same_incarnation(
+            state.instance, state.started_at_ms, notice
+        )
 
     @property
     def notice(self) -> UpstreamNotice:
@@ -71,13 +84,13 @@
         if not state.instance or is_same_incarnation(state.instance, state.started_at_ms, previous):
             return
         self._has_responded = False
-        self.is_leaving = False
+        self._has_said_leaving = False
         self.rate_limiter = AnnouncedRateLimiter()
         fresh_since_ms = self._node_started_at_ms - FRESH_UPSTREAM_MS
         if self._node_started_at_ms and state.started_at_ms < fresh_since_ms:
             self.rate_limiter.assume_low_rate(now)
         for notice in self._notices.values():
-            self._apply(notice, now)
+            self._adopt_rate(notice, now)
 
     def record(self, response: UpstreamResponse, request: bytes, now: float) -> bool:
         """Records the announcements in a response; returns whether they have changed.
@@ -87,7 +100,8 @@
         self._has_responded = True
         previous = self.notice
         is_changed = self.rate_limiter.record(response.rate_limits, now)
-        self.is_leaving = self.is_leaving or response.leaving.strip() == LEAVING_VALUE
+        if response.leaving.strip() == LEAVING_VALUE:
+            self._has_said_leaving = True
         return self._log_change(previous, request) or is_changed
 
     def record_probe(self, response: UpstreamResponse, now: float) -> None:
@@ -97,6 +111,7 @@
 
     def remember(self, notice: UpstreamNotice, now: float) -> bool:
         """Records what an egress remembers; returns whether the announcements have changed."""
+        previous = self.notice
         key = (notice.instance, notice.started_at_ms)
         known = self._notices.pop(key, None)
         if known is not None:
@@ -104,19 +119,13 @@
         self._notices[key] = notice
         if len(self._notices) > MAX_NOTICES:
             self._notices.popitem(last=False)
-        return self._apply(notice, now)
+        self._adopt_rate(notice, now)
+        return self._log_change(previous, b"")
 
-    def _apply(self, notice: UpstreamNotice, now: float) -> bool:
-        state = self._state
-        if not state.instance or not is_same_incarnation(
-            state.instance, state.started_at_ms, notice
-        ):
-            return False
-        previous = self.notice
-        self.is_leaving = self.is_leaving or notice.is_leaving
-        if not self._has_responded and notice.rate_per_s is not None:
+    def _adopt_rate(self, notice: UpstreamNotice, now: float) -> None:
+        """Uses a rate that an egress remembers, until the upstream has responded here."""
+        if self._is_current(notice) and not self._has_responded and notice.rate_per_s is not None:
             self.rate_limiter.adopt(notice.rate_per_s, now)
-        return self._log_change(previous, b"")
 
     def _log_change(self, previous: UpstreamNotice, request: bytes) -> bool:
         current = self.notice
--- a/src/marjoramvalve/mesh/ingress.py
+++ b/src/marjoramvalve/mesh/ingress.py
@@ -333,7 +333,8 @@
     def _on_response(self, job: Job, response: UpstreamResponse) -> None:
         now = self._loop.time()
         service_s = now - job.started_at
-        if self.announcements.record(response, job.attempt, now):
+        # A 421 comes from another upstream at the address of the one that is known.
+        if response.status != 421 and self.announcements.record(response, job.attempt, now):
             self._on_announced(now)
         if response.status == 421:
             log.warning("upstream.replaced", request=job.attempt, expected=self.state.instance)
--- a/tests/test_upstream_announcements.py
+++ b/tests/test_upstream_announcements.py
@@ -155,6 +155,24 @@
         self.assertEqual(self.restart_ingress(started_at_ms=2), 200)
 
 
+class ReplacedUpstreamTests(MeshTestCase):
+    """Another upstream at the address, which refuses what is meant for the one before."""
+
+    def test_its_announcements_are_not_those_of_the_one_before(self):
+        async def respond(request, writer):
+            extra = f"{LEAVING}Marjoramvalve-Rate-Limit: 0.5\r\n"
+            response = ok_response(request, extra=extra)
+            writer.write(response.replace(b"200 OK", b"421 Misdirected"))
+
+        async def play():
+            caller = await self.connect_pair(respond)
+            await caller.request("/read/", "a1")
+            ingress = self.bench.nodes[1].ingress
+            return ingress.announcements.is_leaving, ingress.rate_limiter.per_s
+
+        self.assertEqual(self.bench.run(play()), (False, None))
+
+
 class RestartedIngressTests(unittest.TestCase):
     """Announcements that an ingress process has not seen itself."""
 
@@ -202,6 +220,14 @@
             (announcements.rate_limiter.per_s, announcements.is_leaving), (None, False)
         )
 
+    def test_another_start_under_the_same_name_is_used_once_its_start_is_known(self):
+        announcements = UpstreamAnnouncements()
+        announcements.remember(UpstreamNotice("i-1", 1000, None, True), 0.0)
+        announcements.set_state(UpstreamState("i-1", "s", 4, True, 0), 1.0)
+        self.assertTrue(announcements.is_leaving)
+        announcements.set_state(UpstreamState("i-1", "s", 4, True, 2000), 2.0)
+        self.assertFalse(announcements.is_leaving)
+
     def test_own_responses_are_newer_than_what_egresses_remember(self):
         announcements = self.announcements()
         announcements.record(UpstreamResponse(200, b"", b"", False), b"a1", 0.1)
