--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -138,6 +138,7 @@
         self.name = name
         self.service = service
         self.response_delay_s = response_delay_s
+        self.announcements = ""  # Header lines added to each response.
         self.request_heads: list[str] = []
         self.runs: dict[str, int] = {}
         self._seq = 0
@@ -162,6 +163,7 @@
                 await asyncio.sleep(self.response_delay_s)
                 extra = f"X-Attempt-Id: {attempt}\r\n" if attempt else ""
                 extra += f"X-Instance-Id: {self.name}\r\nX-Server-Load: 0,0,5\r\n"
+                extra += self.announcements
                 extra += f"X-Server-Stamp: {attempt}\r\nContent-Length: {len(attempt)}\r\n\r\n"
                 writer.write(f"HTTP/1.1 200 OK\r\n{extra}{attempt}".encode())
         writer.close()
--- /dev/null
+++ b/tests/test_announcement_processes.py
@@ -0,0 +1,85 @@
+"""Rate limits and departures announced by backends, with processes on the platform's protocol."""
+
+import asyncio
+import time
+import unittest
+
+from tests.platform_fleet import (
+    Backend,
+    Fleet,
+    call_node,
+    config,
+    put_config,
+    ready_status,
+    wait_until,
+)
+
+CONTROLLERS, NODES = (1, 2, 3), (11, 12, 13)
+BACKEND_NODE = 13  # The other nodes have backends of another service.
+SLOTS, CONCURRENT_CALLS = 50, 40
+# The users' rule: one and a half times what the rate allows in 4 s, and five requests more.
+RATE_PER_S, MOST_REQUESTS = 0.25, 6
+BACKEND_AGE_MS = 60_000
+
+
+class AnnouncementProcessTests(unittest.TestCase):
+    """Three controller and three node processes; one backend of the called service."""
+
+    def setUp(self):
+        self.fleet = Fleet()
+        self.addCleanup(self.fleet.close)
+
+    def test_restarted_node_keeps_to_the_rate_announced_to_others(self):
+        new_requests = asyncio.run(self._play(f"Server-Limit: {RATE_PER_S}\r\n"))
+        self.assertLessEqual(new_requests, MOST_REQUESTS)
+
+    def test_restarted_node_sends_nothing_to_a_backend_that_is_leaving(self):
+        self.assertEqual(asyncio.run(self._play("Server-Leaving: 1\r\n")), 0)
+
+    async def start(self):
+        for number in CONTROLLERS:
+            self.fleet.launch("core", number)
+        for number in NODES:
+            self.fleet.launch("side", number, "s1" if number == BACKEND_NODE else "s2")
+        split = [{"service": "s1", "weight": 1}]
+        first = config("00000001", path={"split": split})
+        await wait_until(lambda: put_config(first, "00000000"), 200)
+        self.backend = Backend(BACKEND_NODE, f"i-{BACKEND_NODE}")
+        await self.backend.start()
+        self.addCleanup(self.backend.close)
+        self.born = int(time.time() * 1000) - BACKEND_AGE_MS
+        await self.announce_backend()
+        for number in NODES:
+            await wait_until(lambda number=number: ready_status(number), 200)
+
+            async def serves(number=number):
+                return (await call_node(number, "/a/warm", f"w-{number}"))[0]
+
+            await wait_until(serves, 200)
+
+    async def announce_backend(self):
+        await wait_until(lambda: self.backend.send_heartbeat(born=self.born, capacity=SLOTS), 200)
+
+    async def _play(self, announcements):
+        """Returns how many requests a backend gets after these headers and a restart of its node.
+
+        Its heartbeats say all the while that it is ready.
+        """
+        await self.start()
+        self.backend.announcements = announcements
+        for number in NODES[:2]:
+            await call_node(number, "/a/told", f"told-{number}")
+        self.fleet.kill(BACKEND_NODE)
+        self.backend.response_delay_s = 0.3
+        received = len(self.backend.runs)
+        self.fleet.restart(BACKEND_NODE)
+        await self.announce_backend()
+        await wait_until(lambda: ready_status(BACKEND_NODE), 200)
+        await asyncio.sleep(2.0)  # Above the longest delay between two attempts to reconnect.
+        calls = [
+            call_node(NODES[attempt % 2], "/a/again", f"again-{attempt}")
+            for attempt in range(CONCURRENT_CALLS)
+        ]
+        statuses = [status for status, _, _ in await asyncio.gather(*calls)]
+        self.assertIn(503, statuses)
+        return len(self.backend.runs) - received
