Tell callers' nodes when an upstream is warm

An upstream says in its heartbeats for how long it is still slow after its start. The other nodes were told that it is cold, and never that it had become warm, unless something else changed: they placed fewer calls there than it had room for.

The state that nodes compare left out the time; now it tells cold from warm. The test failed before (it waited for the news until its time was up).

--- a/src/marjoramvalve/mesh/ingress.py
+++ b/src/marjoramvalve/mesh/ingress.py
@@ -134,7 +134,7 @@
             self._unreachable_until = 0.0
         if not self.ready:
             self._refuse_queued(ErrorCode.NOT_READY)
-        if replace(state, seq=0, cold_until_s=0.0) != replace(previous, seq=0, cold_until_s=0.0):
+        if state.without_times() != previous.without_times():
             log.info(
                 "upstream.state",
                 instance=state.instance,
--- a/src/marjoramvalve/mesh/jobs.py
+++ b/src/marjoramvalve/mesh/jobs.py
@@ -1,6 +1,6 @@
 """Calls at an ingress, and the state and statistics of its upstream."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Protocol
 
 from marjoramvalve.h1 import Exchange, UpstreamResponse
@@ -23,6 +23,10 @@
     seq: int = 0
     cold_until_s: float = 0.0
 
+    def without_times(self) -> "UpstreamState":
+        """Returns the state without its age, cold or not, to compare it with others."""
+        return replace(self, seq=0, cold_until_s=float(self.cold_until_s > 0.0))
+
 
 class JobCallbacks(Protocol):
     """Receives the outcome of a job."""
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -3,6 +3,7 @@
 import asyncio
 import types
 import unittest
+from dataclasses import replace
 
 import msgspec
 
@@ -579,6 +580,25 @@
         self.assertEqual(self.bench.run(scenario()), (200, size))
 
 
+class ColdUpstreamTests(MeshTestCase):
+    """An upstream that is slow after its start, as its heartbeats say."""
+
+    def test_callers_learn_when_it_is_warm(self):
+        async def scenario():
+            await self.connect_pair(respond_immediately)
+            node = self.bench.nodes[1]
+            stats = next(iter(self.bench.nodes[0].egress.peers.remote.values())).stats
+            state = node.ingress.state
+            for cold_until_s in (node.ingress._loop.time() + 60.0, 0.0):
+                state = replace(state, seq=state.seq + 1, cold_until_s=cold_until_s)
+                node.ingress.set_state(state)
+                while stats.cold != bool(cold_until_s):
+                    await asyncio.sleep(0.005)
+            return stats.cold
+
+        self.assertFalse(self.bench.run(scenario()))
+
+
 class RestartTests(MeshTestCase):
     """A restarted node whose upstream has not announced its state to it yet."""
 
