Take no exit of an upstream that said it is leaving for a crash

The connections of an upstream that exits after it has said in its answers that it is leaving broke under the last requests as in a crash, and these became suspects of the quarantine: three such exits would have set a popular request aside. Only heartbeats counted as such a sign. The test failed before (one crash counted).

--- a/src/marjoramvalve/mesh/ingress.py
+++ b/src/marjoramvalve/mesh/ingress.py
@@ -420,7 +420,8 @@
             self._set_unreachable()
             self._refuse_sent(job, ErrorCode.NO_CONNECTION, RECONNECT_DELAY_S)
             return
-        if kind is ExchangeFailure.CONNECTION_CLOSED and self.state.ready:
+        is_expected_to_run = self.state.ready and not self.announcements.is_leaving
+        if kind is ExchangeFailure.CONNECTION_CLOSED and is_expected_to_run:
             now = self._loop.time()
             run = BrokenRun(job.attempt, fingerprints, job.started_at, now, job.is_retry)
             self._crash_detector.record(run)
--- a/tests/test_mesh_ends.py
+++ b/tests/test_mesh_ends.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from marjoramvalve.h1 import UpstreamResponse
 from marjoramvalve.mesh.crashes import REFUSED_WINDOW_S, RESTART_WINDOW_S, BrokenRun, CrashDetector
 from marjoramvalve.retries import fingerprints
 from tests.meshes import reset_connection
@@ -57,6 +58,14 @@
     def test_malformed_responses_are_no_crash(self):
         self.assertEqual(self.crashes_after(self.send_malformed), 0)
 
+    def test_an_upstream_that_said_it_is_leaving_does_not_crash(self):
+        def say_leaving():
+            leaving = UpstreamResponse(200, b"", b"", False, leaving=b"1")
+            self.bench.nodes[1].ingress.announcements.record(leaving, b"a0", 0.0)
+
+        node = self.bench.run(self.break_both(self.crash, say_leaving))
+        self.assertEqual(node.ingress.upstream_crashes, 0)
+
     def test_an_announced_shutdown_is_no_crash(self):
         async def play():
             def announce_shutdown():
