--- a/tests/soak.py
+++ b/tests/soak.py
@@ -2,6 +2,7 @@
 
 `python -m tests.soak --seeds=1-50` runs a range of seeds, `--fresh=10` runs ten random new ones.
 `--seconds=20` sets how long faults are injected, `--report=FOLDER` writes a plot of each run.
+With `--announce`, backends also announce rate limits and that they are leaving.
 """
 
 import asyncio
@@ -19,7 +20,6 @@
 from tests.meshes import Caller
 from tests.platform_fleet import (
     CALLERS_PORT,
-    CrashingBackend,
     Fleet,
     address,
     call_node,
@@ -30,6 +30,7 @@
     wait_until,
 )
 from tests.proxies import INBOUND, OUTBOUND
+from tests.soak_announcements import Announcer, AnnouncingBackend
 from tests.soak_reports import describe, plot
 
 CONTROLLERS, NODES = (1, 2, 3), (11, 12, 13)
@@ -63,6 +64,7 @@
     sent_at: float
     status: int = 0
     body: bytes = b""
+    received_at: float = 0.0
 
 
 @dataclass
@@ -71,6 +73,7 @@
 
     seed: int
     seconds: float
+    announcing: bool = False
     fleet: Fleet = field(default_factory=lambda: Fleet(proxied=True))
     requests: list[RequestRecord] = field(default_factory=list)
     faults: list[tuple[float, str]] = field(default_factory=list)
@@ -84,9 +87,11 @@
         self.rng = random.Random(self.seed)
         self.started_at = time.monotonic()
         self.backends = {
-            number: CrashingBackend(number, f"i-{number}", service, 0.03)
+            number: AnnouncingBackend(number, f"i-{number}", service, 0.03)
             for number, service in SERVICES.items()
         }
+        announcer_rng = random.Random(f"{self.seed}-announcer")
+        self.announcer = Announcer(announcer_rng, list(self.backends.values()))
 
     def record_fault(self, text: str) -> None:
         self.faults.append((time.monotonic() - self.started_at, text))
@@ -122,6 +127,7 @@
         conn.writer.write("\r\n".join(lines).encode())
         async with asyncio.timeout(DEADLINE_MS / 1000 + 1):
             request.status, head, request.body = await conn.read_response()
+        request.received_at = time.monotonic()
         if "Connection: close" in head:
             raise ConnectionResetError("the node is closing the connection")
 
@@ -384,7 +390,8 @@
             for caller in range(CALLERS_PER_NODE)
         ]
         monitor = asyncio.create_task(self.monitor())
-        await self.inject_faults()
+        announcing_s = self.seconds if self.announcing else 0.0
+        await asyncio.gather(self.inject_faults(), self.announcer.run(announcing_s))
         try:
             await self.wait_until_serving()
         except TimeoutError:
@@ -428,6 +435,7 @@
             if request.status == 200 and request.body.decode() != request.attempt_id:
                 self.violations.append(f"{request.attempt_id} got response body {request.body!r}")
         self.check_fatal_requests()
+        self.check_announcements()
         current = await read_config()
         _, version, raw = self.acknowledged
         if current is None or int(current["version"], 16) < version:
@@ -437,15 +445,21 @@
         elif not self.is_version_unknown and current != json.loads(raw):
             self.violations.append("the final configuration differs from the published one")
 
+    def check_announcements(self) -> None:
+        """Checks that backends got no more than they had announced to accept."""
+        received = {item.attempt_id: item.received_at for item in self.requests if item.status}
+        faults = [(self.started_at + at, text) for at, text in self.faults]
+        self.violations += self.announcer.find_violations(received, faults)
+
     def close(self) -> None:
         self.fleet.close()
         for backend in self.backends.values():
             backend.close()
 
 
-async def run_seed(seed: int, seconds: float) -> Soak:
+async def run_seed(seed: int, seconds: float, announcing: bool = False) -> Soak:
     """Runs one seed; writes the processes' logs to the working directory if a check failed."""
-    soak = Soak(seed, seconds)
+    soak = Soak(seed, seconds, announcing)
     try:
         await soak.run()
     finally:
@@ -467,11 +481,13 @@
     return listed + [draw.randrange(1000, 10**9) for _ in range(fresh)]
 
 
-def main(seeds: str = "", fresh: int = 0, seconds: float = 20.0, report: str = "") -> None:
+def main(
+    seeds: str = "", fresh: int = 0, seconds: float = 20.0, report: str = "", announce: bool = False
+) -> None:
     """Runs seeds; the exit status is the number of failed ones, at most 99."""
     failed = 0
     for seed in list_seeds(str(seeds), fresh):
-        run = asyncio.run(run_seed(seed, seconds))
+        run = asyncio.run(run_seed(seed, seconds, announce))
         print(describe(run), flush=True)
         if report:
             plot(run, report)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import json
+import random
 import unittest
 
 from tests import soak
 from tests.platform_fleet import config
+from tests.soak_announcements import Announcement, Announcer, AnnouncingBackend
 
 CI_SEED, CI_SECONDS = 7, 8.0
 
@@ -83,9 +85,39 @@
         )
 
 
+class AnnouncementCheckTests(unittest.TestCase):
+    """The check of announcements counts what nodes sent that knew of them."""
+
+    def find_violations(self, rate, times, faults=()):
+        """Checks a backend that got these requests of node 11, the first at 0 told it."""
+        backend = AnnouncingBackend(11, "i-11", "s1", 0.0)
+        backend.arrivals = [(at, 11, f"11-{number}") for number, at in enumerate(times)]
+        received = {attempt: at for at, _, attempt in backend.arrivals}
+        announcer = Announcer(random.Random(1), [backend])
+        announcer.periods.append(Announcement(backend, rate, 0.0, 60.0))
+        return announcer.find_violations(received, faults)
+
+    def test_more_requests_than_announced_are_found(self):
+        times = [0.0, *(5.0 + 0.1 * number for number in range(12))]
+        self.assertEqual(len(self.find_violations(1.0, times)), 1)
+        self.assertEqual(self.find_violations(1.0, times[:11]), [])
+
+    def test_requests_after_a_departure_are_found(self):
+        self.assertEqual(len(self.find_violations(None, [0.0, 4.0])), 1)
+        self.assertEqual(self.find_violations(None, [0.0, 1.0]), [])
+
+    def test_a_fault_of_the_node_excuses_its_requests(self):
+        self.assertEqual(self.find_violations(None, [0.0, 4.0], [(2.0, "kill 11")]), [])
+        self.assertEqual(len(self.find_violations(None, [0.0, 4.0], [(2.0, "kill 12")])), 1)
+
+
 class ShortRunTests(unittest.TestCase):
     """A short run of one seed and of every seed that once failed."""
 
+    def test_seed_with_announcements(self):
+        run = asyncio.run(soak.run_seed(CI_SEED, CI_SECONDS, announcing=True))
+        self.assertEqual(run.violations, [], soak.describe(run))
+
     def test_seeds(self):
         for seed in (CI_SEED, *soak.REGRESSION_SEEDS):
             with self.subTest(seed=seed):
