Test that connections are used as their responses say

Found missing when going through what upstreams say about themselves: no test covered Connection and Keep-Alive of responses. Both are kept to.

--- a/tests/test_upstream_announcements.py
+++ b/tests/test_upstream_announcements.py
@@ -155,6 +155,30 @@
         self.assertEqual(self.restart_ingress(started_at_ms=2), 200)
 
 
+class ConnectionHeaderTests(MeshTestCase):
+    """What responses say about the connection that they come on."""
+
+    def opened_connections(self, *headers):
+        """Returns how many connections two calls take after a response with these headers."""
+
+        async def play():
+            caller = await self.connect_pair(announcing(headers))
+            for attempt in ("a1", "a2"):
+                await caller.request("/read/", attempt)
+            return self.bench.nodes[1].ingress.pool.opened_connections
+
+        return self.bench.run(play())
+
+    def test_a_connection_is_used_again(self):
+        self.assertEqual(self.opened_connections(), 1)
+
+    def test_a_connection_that_the_upstream_will_close_is_not(self):
+        self.assertEqual(self.opened_connections("Connection: close\r\n"), 2)
+
+    def test_a_connection_is_not_used_up_to_its_idle_timeout(self):
+        self.assertEqual(self.opened_connections("Keep-Alive: timeout=1\r\n"), 2)
+
+
 class ReplacedUpstreamTests(MeshTestCase):
     """Another upstream at the address, which refuses what is meant for the one before."""
 
