--- a/tests/test_upstream_announcements.py
+++ b/tests/test_upstream_announcements.py
@@ -155,6 +155,62 @@
         self.assertEqual(self.restart_ingress(started_at_ms=2), 200)
 
 
+class RateChangeTests(MeshTestCase):
+    """Announced rates that change while calls wait and egresses place calls."""
+
+    def stats(self):
+        """Returns what the egress of the first node knows of the upstream."""
+        return next(iter(self.bench.nodes[0].egress.peers.remote.values())).stats
+
+    def test_queued_calls_that_would_wait_too_long_are_refused_when_the_rate_falls(self):
+        release = asyncio.Event()
+
+        async def respond(request, writer):
+            await release.wait()
+            writer.write(ok_response(request, extra="Marjoramvalve-Rate-Limit: 0.25\r\n"))
+
+        async def play():
+            caller = await self.connect_pair(respond, slots=1)
+            other = await self.bench.connect_caller(self.bench.nodes[0])
+            caller.send("/read/", "a1")
+            while not self.received_requests:
+                await asyncio.sleep(0.005)
+            other.send("/read/", "a2")
+            ingress = self.bench.nodes[1].ingress
+            while not ingress.load[1]:
+                await asyncio.sleep(0.005)
+            release.set()
+            await caller.read_response()
+            waiting = ingress.load[1]
+            status, head, _ = await other.read_response()
+            return waiting, status, float(header_value(head, "Retry-After"))
+
+        waiting, status, retry_after_s = self.bench.run(play())
+        self.assertEqual((waiting, status), (0, 503))
+        self.assertGreater(retry_after_s, 1.0)
+
+    def test_callers_node_knows_a_rate_before_the_response_is_passed_on(self):
+        async def play():
+            caller = await self.connect_pair(announcing(["Marjoramvalve-Rate-Limit: 7\r\n"]))
+            await caller.request("/read/", "a1")
+            return self.stats().rate_per_s
+
+        self.assertEqual(self.bench.run(play()), 7.0)
+
+    def test_callers_node_learns_further_changes(self):
+        headers = ["Marjoramvalve-Rate-Limit: 70\r\n"]
+
+        async def play():
+            caller = await self.connect_pair(announcing(headers))
+            for attempt, rate in enumerate((70, 60, 50)):
+                headers[0] = f"Marjoramvalve-Rate-Limit: {rate}\r\n"
+                await caller.request("/read/", f"a{attempt}")
+            while self.stats().rate_per_s != 50.0:
+                await asyncio.sleep(0.005)
+
+        self.bench.run(play())
+
+
 class ConnectionHeaderTests(MeshTestCase):
     """What responses say about the connection that they come on."""
 
