Close gaps that guards taken out of the announcements showed

Of 22 guards taken out one by one, three made no test fail: refusing the queue of a leaving upstream at once, merging what egresses remember, and a rate in a health check. Each has a test now.

--- a/tests/test_upstream_announcements.py
+++ b/tests/test_upstream_announcements.py
@@ -109,9 +109,12 @@
             while not self.bench.nodes[1].ingress.load[1]:
                 await asyncio.sleep(0.005)
             release.set()
-            return (await caller.read_response())[0], (await other.read_response())[0]
+            statuses = [(await caller.read_response())[0]]
+            waiting = self.bench.nodes[1].ingress.load[1]
+            statuses.append((await other.read_response())[0])
+            return statuses, waiting
 
-        self.assertEqual(self.bench.run(play()), (200, 503))
+        self.assertEqual(self.bench.run(play()), ([200, 503], 0))
         self.assertEqual(len(self.received_requests), 1)
 
     def test_a_late_heartbeat_does_not_bring_it_back(self):
@@ -286,6 +289,19 @@
             announcements.remember(UpstreamNotice("i-1", 1000, rate), 0.0)
         self.assertEqual(announcements.rate_limiter.per_s, 3.0)
 
+    def test_an_egress_that_does_not_know_of_a_departure_erases_nothing(self):
+        announcements = self.announcements()
+        announcements.remember(UpstreamNotice("i-1", 1000, None, True), 0.0)
+        announcements.remember(UpstreamNotice("i-1", 1000, 3.0), 0.1)
+        self.assertTrue(announcements.is_leaving)
+
+    def test_a_rate_in_a_health_check_is_kept_to(self):
+        announcements = self.announcements()
+        response = UpstreamResponse(200, b"", b"", False, rate_limits=(b"7",))
+        announcements.record_probe(response, 0.0)
+        announcements.record_probe(UpstreamResponse(200, b"", b"", False), 0.1)
+        self.assertEqual(announcements.rate_limiter.announced_per_s, 7.0)
+
     def test_notices_that_come_before_the_heartbeat_count(self):
         announcements = UpstreamAnnouncements()
         announcements.remember(UpstreamNotice("i-1", 1000, 3.0, True), 0.0)
