Name the kinds of announcements that egresses are told

No change of behaviour: a property said limits and meant whether there is a rate and whether the upstream is leaving; a list was built to be tested for truth; a docstring repeated its constant's comment.

--- a/src/marjoramvalve/mesh/announcements.py
+++ b/src/marjoramvalve/mesh/announcements.py
@@ -71,7 +71,7 @@
         )
 
     @property
-    def limits(self) -> tuple[bool, bool]:
+    def announced_kinds(self) -> tuple[bool, bool]:
         """Returns whether the upstream announces a rate, and whether it is leaving."""
         return self.rate_limiter.announced_per_s is not None, self.is_leaving
 
--- a/src/marjoramvalve/mesh/ingress.py
+++ b/src/marjoramvalve/mesh/ingress.py
@@ -68,7 +68,7 @@
         self.rate_limited_calls = 0
         self._start_timer: asyncio.TimerHandle | None = None
         self.announcements = announcements or UpstreamAnnouncements()
-        self._told_limits = self.announcements.limits
+        self._told_kinds = self.announcements.announced_kinds
         self._notice_timer: asyncio.TimerHandle | None = None
         self._rate_usage_logged = (0.0, 0)  # When, and how many requests had been sent by then.
         self.quarantine = quarantine
@@ -122,7 +122,7 @@
         """Applies the state announced by the upstream; refuses queued calls if it is not ready."""
         previous, self.state = self.state, state
         self.announcements.set_state(state, self._loop.time())
-        self._told_limits = self.announcements.limits
+        self._told_kinds = self.announcements.announced_kinds
         if not is_same_incarnation(state.instance, state.started_at_ms, previous):
             self._shed_limit = float(state.slots)
             self.pool.drop_idle()
@@ -361,20 +361,17 @@
     def apply_notices(self, notices: tuple[UpstreamNotice, ...]) -> None:
         """Applies what an egress remembers of the announcements of the upstream."""
         now = self._loop.time()
-        if [True for notice in notices if self.announcements.remember(notice, now)]:
+        if any([self.announcements.remember(notice, now) for notice in notices]):
             self._on_announced(now)
 
     def _on_announced(self, now: float) -> None:
-        """Rechecks the queue and tells the egresses, before the response is passed on.
-
-        Further changes of a rate are told to them at intervals.
-        """
+        """Rechecks the queue and tells the egresses, before the response is passed on."""
         if self.ready:
             self._recheck_queued(now)
         else:
             self._refuse_queued(ErrorCode.NOT_READY)
-        if self._told_limits != self.announcements.limits:
-            self._told_limits = self.announcements.limits
+        if self._told_kinds != self.announcements.announced_kinds:
+            self._told_kinds = self.announcements.announced_kinds
             self.on_change()
         elif self._notice_timer is None:
             self._notice_timer = self._loop.call_later(NOTICE_INTERVAL_S, self._tell_notice)
