Simplify the handling of announcements

Found on reading the whole change once more: - CallQueue.expected_wait_s was left to the tests alone; it takes the delay of announced rates itself now, and the ingress uses it again. - Each response built two notices, and each call looked through those that are remembered; whether the upstream is leaving is determined when that changes. - The plan computed the mean service time once a report, with or without announced limits; now once for each limited service. - A special case for upstreams without a rate in submit is not needed: only a call that has to wait for its turn starts the timer. - Headers that are read and passed on share one way; a second clamp of tokens was redundant; the memory of an egress holds one upstream for an address, so its greeting carries one notice and not a list of them. - The rule on announced rates stood in four test files, and a scene of the tests in two places.

--- a/src/marjoramvalve/fleet/plans.py
+++ b/src/marjoramvalve/fleet/plans.py
@@ -69,7 +69,8 @@
     """Computes the rate limits of external calls, at the leader.
 
     `planned_slots` and `requested_slots` hold, by service, the slots available to the last plan and
-    those that all offered calls would need.
+    those that all offered calls would need. For services with announced limits they also hold
+    requests per second.
     """
 
     def __init__(self) -> None:
@@ -203,18 +204,13 @@
         Only services with an upstream that announces a limit are included. There, a short call
         takes as much of the limit as a long one.
         """
-        rates: dict[str, float] = {}
         limited = {r.service for r in self._reports.values() if r.load.rate_per_s is not None}
+        rates = dict.fromkeys(map(request_rate_of, limited), 0.0)
+        mean_times_s = {service: self._mean_service_time_s(service) for service in limited}
         for report in self._reports.values():
-            service, load = report.service, report.load
-            mean_s = self._mean_service_time_s(service)
-            if service not in limited or not mean_s:
-                continue
-            rate = load.slots / mean_s
-            if load.rate_per_s is not None:
-                rate = min(rate, load.rate_per_s) if load.slots else 0.0
-            resource = request_rate_of(service)
-            rates[resource] = rates.get(resource, 0.0) + rate
+            if report.service in limited:
+                resource = request_rate_of(report.service)
+                rates[resource] += _request_rate(report.load, mean_times_s[report.service])
         return rates
 
     def _mean_service_time_s(self, service: str) -> float:
@@ -346,6 +342,14 @@
     return f"{service} requests/s"
 
 
+def _request_rate(load: NodeLoad, mean_s: float) -> float:
+    """Returns how many requests per second a node can take, at this mean service time."""
+    if not load.slots:
+        return 0.0
+    by_slots = load.slots / max(mean_s, MIN_COST)
+    return by_slots if load.rate_per_s is None else min(by_slots, load.rate_per_s)
+
+
 def _max_rate(cost: dict[str, float], slots: dict[str, float], shares: dict[str, float]) -> float:
     """Returns the highest call rate that stays within the given shares of all services' slots."""
     used = [service for service in cost if service in slots]
--- a/src/marjoramvalve/h1/upstreams.py
+++ b/src/marjoramvalve/h1/upstreams.py
@@ -23,6 +23,8 @@
 MAX_CHUNK_OVERHEAD = 8  # Framing bytes per body byte; enough for chunks of one byte.
 MAX_BUFFERED_BYTES = 96 << 20  # Bodies of all responses in progress, over all connections.
 
+FORWARDED_FIELDS = frozenset({"attempt", "rate_limit", "leaving"})  # Read, and passed on as well.
+
 log = structlog.get_logger("upstreams")
 
 
@@ -210,21 +212,18 @@
         lower = name.lower()
         field = self._pool.fields_by_header.get(lower)
         if field is not None:
-            self._handle_header(field, name, value)
-        elif lower not in CONNECTION_HEADERS:
+            self._handle_header(field, value)
+        if field in FORWARDED_FIELDS or (field is None and lower not in CONNECTION_HEADERS):
             self._header_lines.append(b"%b: %b\r\n" % (name, value))
 
-    def _handle_header(self, field: str, name: bytes, value: bytes) -> None:
+    def _handle_header(self, field: str, value: bytes) -> None:
         match field:
             case "attempt":
                 self._attempt = value
-                self._header_lines.append(b"%b: %b\r\n" % (name, value))
             case "rate_limit":
                 self._rate_limits.append(value)
-                self._header_lines.append(b"%b: %b\r\n" % (name, value))
             case "leaving":
                 self._leaving = value
-                self._header_lines.append(b"%b: %b\r\n" % (name, value))
             case "not_run":
                 self._not_run = True
             case "load":
--- a/src/marjoramvalve/mesh/announced_rates.py
+++ b/src/marjoramvalve/mesh/announced_rates.py
@@ -60,10 +60,8 @@
     def adopt(self, rate: float, now: float) -> None:
         """Uses a rate that was announced to another process, unless a lower one is known."""
         if self._is_assumed or self.per_s is None or rate < self.per_s:
-            tokens = self._tokens if self._is_assumed else 0.0
-            self._is_assumed = False
             self._set_rate(rate, now)
-            self._tokens = min(tokens, self._burst())
+            self._is_assumed = False
             self._announced_at = now
 
     def record(self, values: Sequence[bytes], now: float) -> bool:
@@ -82,20 +80,18 @@
             is_recent = now < self._announced_at + LIFT_DELAY_S
             if is_recent or self._responses_without < RESPONSES_TO_LIFT:
                 return False
-        self._is_assumed = False
-        if rate == self.per_s:
+        if rate == self.per_s and not self._is_assumed:
             return False
         self._set_rate(rate, now)
+        self._is_assumed = False
         return True
 
     def _set_rate(self, rate: float | None, now: float) -> None:
         self._refill(now)
         if self.per_s is None:
             self._tokens = 0.0  # Requests sent before the announcement count against the rate too.
-        self.per_s, self.changed_at = rate, now
-        self._refilled_at = now
-        if rate is not None:
-            self._tokens = min(self._tokens, self._burst())
+        self.per_s = rate
+        self.changed_at = self._refilled_at = now
 
     def _burst(self) -> float:
         if self._is_assumed:
--- a/src/marjoramvalve/mesh/announcements.py
+++ b/src/marjoramvalve/mesh/announcements.py
@@ -44,12 +44,12 @@
         self._has_responded = False
         self._notices: OrderedDict[tuple[str, int], UpstreamNotice] = OrderedDict()
         self._has_said_leaving = False
+        self.is_leaving = False
         self.rate_limiter = AnnouncedRateLimiter()
 
-    @property
-    def is_leaving(self) -> bool:
-        """Returns whether the upstream has said that it is leaving, here or to an egress."""
-        return self._has_said_leaving or any(
+    def _update_leaving(self) -> None:
+        """Determines whether the upstream has said that it is leaving, here or to an egress."""
+        self.is_leaving = self._has_said_leaving or any(
             notice.is_leaving for notice in self._notices.values() if self._is_current(notice)
         )
 
@@ -82,9 +82,11 @@
         """
         previous, self._state = self._state, state
         if not state.instance or is_same_incarnation(state.instance, state.started_at_ms, previous):
+            self._update_leaving()  # The start time may have been unknown.
             return
         self._has_responded = False
         self._has_said_leaving = False
+        self._update_leaving()
         self.rate_limiter = AnnouncedRateLimiter()
         fresh_since_ms = self._node_started_at_ms - FRESH_UPSTREAM_MS
         if self._node_started_at_ms and state.started_at_ms < fresh_since_ms:
@@ -98,20 +100,24 @@
         `request` is the request ID, for the log.
         """
         self._has_responded = True
-        previous = self.notice
+        previous = self._announced
         is_changed = self.rate_limiter.record(response.rate_limits, now)
         if response.leaving.strip() == LEAVING_VALUE:
-            self._has_said_leaving = True
+            self._has_said_leaving = self.is_leaving = True
         return self._log_change(previous, request) or is_changed
 
-    def record_probe(self, response: UpstreamResponse, now: float) -> None:
+    def record_probe(self, response: UpstreamResponse, now: float) -> bool:
         """Records the rate in a response to a health check, which may lack it."""
+        previous = self._announced
         if response.rate_limits:
             self.rate_limiter.record(response.rate_limits, now)
+        return self._log_change(previous, b"")
 
     def remember(self, notice: UpstreamNotice, now: float) -> bool:
         """Records what an egress remembers; returns whether the announcements have changed."""
-        previous = self.notice
+        if not notice.instance:
+            return False
+        previous = self._announced
         key = (notice.instance, notice.started_at_ms)
         known = self._notices.pop(key, None)
         if known is not None:
@@ -119,6 +125,7 @@
         self._notices[key] = notice
         if len(self._notices) > MAX_NOTICES:
             self._notices.popitem(last=False)
+        self._update_leaving()
         self._adopt_rate(notice, now)
         return self._log_change(previous, b"")
 
@@ -127,17 +134,20 @@
         if self._is_current(notice) and not self._has_responded and notice.rate_per_s is not None:
             self.rate_limiter.adopt(notice.rate_per_s, now)
 
-    def _log_change(self, previous: UpstreamNotice, request: bytes) -> bool:
-        current = self.notice
-        if current == previous:
+    @property
+    def _announced(self) -> tuple[float | None, bool]:
+        return self.rate_limiter.announced_per_s, self.is_leaving
+
+    def _log_change(self, previous: tuple[float | None, bool], request: bytes) -> bool:
+        if self._announced == previous:
             return False
         log.info(
             "upstream.announced",
-            instance=current.instance,
+            instance=self._state.instance,
             request=request,
-            limit_per_s=current.rate_per_s,
-            previous_per_s=previous.rate_per_s,
-            leaving=current.is_leaving,
+            limit_per_s=self.rate_limiter.announced_per_s,
+            previous_per_s=previous[0],
+            leaving=self.is_leaving,
         )
         return True
 
@@ -174,9 +184,6 @@
         if len(self._by_address) > MAX_ADDRESSES:
             self._by_address.popitem(last=False)
 
-    def recall(self, address: str) -> tuple[UpstreamNotice, ...]:
-        """Returns the notices of the upstream at an address that its ingress should know."""
-        notice = self._by_address.get(address)
-        if notice is None or (notice.rate_per_s is None and not notice.is_leaving):
-            return ()
-        return (notice,)
+    def recall(self, address: str) -> UpstreamNotice:
+        """Returns the notice of the upstream at an address; it is empty if none is known."""
+        return self._by_address.get(address, UpstreamNotice())
--- a/src/marjoramvalve/mesh/balancing.py
+++ b/src/marjoramvalve/mesh/balancing.py
@@ -61,12 +61,17 @@
     @property
     def utilization_by_others(self) -> float:
         """Returns the fraction of the slots used by other callers at the last report."""
-        return max(0, self.reported_load - self.in_flight_at_report) / max(1, self.limit)
+        return self._calls_of_others / max(1, self.limit)
 
-    def _pacing_delay_s(self, others: float, service_s: float) -> float:
+    @property
+    def _calls_of_others(self) -> int:
+        return max(0, self.reported_load - self.in_flight_at_report)
+
+    def _pacing_delay_s(self, report_weight: float, service_s: float) -> float:
         """Returns how long a call waits for its turn at the announced rate, in seconds."""
         if self.rate_per_s is None:
             return 0.0
+        others = report_weight * self._calls_of_others
         rate_per_s = max(MIN_RATE_PER_S, self.rate_per_s)
         calls_at_rate = min(float(self.limit), max(1.0, rate_per_s * service_s))
         return max(0.0, others + self.in_flight + 1 - calls_at_rate) / rate_per_s
@@ -99,9 +104,7 @@
         congestion = (
             1.0 + utilization**UTILIZATION_EXPONENT if utilization < 1 else 2.0 * utilization
         )
-        delay_s = self._pacing_delay_s(
-            report_weight * self.utilization_by_others * self.limit, service_s
-        )
+        delay_s = self._pacing_delay_s(report_weight, service_s)
         expected_s = service_s * slowness * congestion + delay_s
         cost = expected_s * (1.0 + FAILURE_WEIGHT * failure_rate)
         return cost if self.is_local else cost * (1.0 + CROSS_DOMAIN_FACTOR) + CROSS_DOMAIN_S
--- a/src/marjoramvalve/mesh/frames.py
+++ b/src/marjoramvalve/mesh/frames.py
@@ -53,13 +53,13 @@
 class Hello(msgspec.Struct, frozen=True, array_like=True):
     """Opens a stream for the calls of an egress. `session` identifies the egress process.
 
-    `notices` tells what the egress remembers of upstreams at the ingress's address.
+    `notice` tells what the egress remembers of the upstream at the ingress's address.
     """
 
     session: int
     name: str
     domain: str
-    notices: tuple[UpstreamNotice, ...] = ()
+    notice: UpstreamNotice = UpstreamNotice()
 
 
 class Welcome(msgspec.Struct, frozen=True, array_like=True):
--- a/src/marjoramvalve/mesh/ingress.py
+++ b/src/marjoramvalve/mesh/ingress.py
@@ -158,8 +158,9 @@
         self._is_probing = False
         if instance and slots and not self.state.instance:
             self.set_state(UpstreamState(instance, self._service, slots, True))
-            self.announcements.record_probe(response, self._loop.time())
-            self.on_change()
+            now = self._loop.time()
+            if self.announcements.record_probe(response, now):
+                self._on_announced(now)
 
     def stop_accepting(self) -> None:
         """Refuses queued calls and all new ones."""
@@ -183,15 +184,15 @@
             return
         if self._refuse_if_quarantined(job, now):
             return
-        has_room = self._running_count < self.limit and not self.rate_limiter.wait_s(0, now)
-        if has_room and not len(self._queue):
+        pacing_delay_s = self.rate_limiter.wait_s(0, now)
+        if self._running_count < self.limit and not pacing_delay_s and not len(self._queue):
             self._start(job, now)
             return
         if not self._enqueue(job, now):
             return
         self._deadlines.add(self._useful_until(job), lambda: self._expire_waiting(job))
-        if self.rate_limiter.per_s is not None:  # Otherwise the next free slot starts it.
-            self._start_queued()
+        if pacing_delay_s > 0:
+            self._start_queued_in(pacing_delay_s)
 
     def _useful_until(self, job: Job) -> float:
         """Returns until when it is useful to start a call.
@@ -214,8 +215,12 @@
         return True
 
     def _expected_wait_s(self, job: Job) -> float:
-        calls, work_s = self._queue.calls_ahead(job.rank, job.root_received_at)
-        return max(work_s / max(1, self.limit), self.rate_limiter.wait_s(calls, self._loop.time()))
+        return self._queue.expected_wait_s(
+            job.rank,
+            job.root_received_at,
+            self.limit,
+            lambda calls: self.rate_limiter.wait_s(calls, self._loop.time()),
+        )
 
     def _log_rate_limited(self, job: Job, wait_s: float, now: float) -> None:
         """Logs and counts the refusal of a call if the upstream announces a rate."""
@@ -235,10 +240,7 @@
 
     def _recheck_queued(self, now: float) -> None:
         """Refuses the queued calls that would wait for too long at a changed rate."""
-        jobs = []
-        while (job := self._queue.pop()) is not None:
-            jobs.append(job)
-        for job in jobs:
+        for job in list(iter(self._queue.pop, None)):
             self._enqueue(job, now)
         self._start_queued()
 
@@ -358,10 +360,10 @@
             job.callbacks.job_completed(job, response, service_s)
             self._release(job)
 
-    def apply_notices(self, notices: tuple[UpstreamNotice, ...]) -> None:
+    def apply_notice(self, notice: UpstreamNotice) -> None:
         """Applies what an egress remembers of the announcements of the upstream."""
         now = self._loop.time()
-        if any([self.announcements.remember(notice, now) for notice in notices]):
+        if self.announcements.remember(notice, now):
             self._on_announced(now)
 
     def _on_announced(self, now: float) -> None:
--- a/src/marjoramvalve/mesh/peers.py
+++ b/src/marjoramvalve/mesh/peers.py
@@ -105,11 +105,14 @@
     @property
     def usable(self) -> bool:
         """Returns whether the local upstream accepts calls."""
-        self.stats.limit = max(1, self._ingress.limit)
-        self.stats.rate_per_s = self._ingress.rate_limiter.announced_per_s
+        self._update_limits()
         self.stats.record_load(*self._ingress.load, self._loop.time())
         return self._ingress.ready
 
+    def _update_limits(self) -> None:
+        self.stats.limit = max(1, self._ingress.limit)
+        self.stats.rate_per_s = self._ingress.rate_limiter.announced_per_s
+
     def send(self, call: "Call") -> None:
         """Submits a call to the ingress."""
         self.calls[call.call_id] = call
@@ -272,7 +275,7 @@
 
     def stream_opened(self, stream: FrameStream) -> None:
         """Identifies this egress to the ingress and tells what it remembers of its upstream."""
-        hello = msgspec.structs.replace(self._hello, notices=self._notices.recall(self.address))
+        hello = msgspec.structs.replace(self._hello, notice=self._notices.recall(self.address))
         stream.send(FrameType.HELLO, msgspec.msgpack.encode(hello))
 
     def stream_closed(self, stream: FrameStream) -> None:
--- a/src/marjoramvalve/mesh/queues.py
+++ b/src/marjoramvalve/mesh/queues.py
@@ -8,6 +8,7 @@
 """
 
 import heapq
+from collections.abc import Callable
 from itertools import count
 
 SMOOTHING = 0.1  # Weight of a new service time in the moving average: about the last ten calls.
@@ -52,20 +53,24 @@
     def __len__(self) -> int:
         return len(self._heap) - len(self._removed)
 
-    def calls_ahead(self, rank: int, began: float) -> tuple[int, float]:
-        """Returns how many calls go before a new one, and their total service time in seconds."""
+    def expected_wait_s(
+        self,
+        rank: int,
+        began: float,
+        slots: int,
+        turn_delay_s: Callable[[int], float] = lambda calls: 0.0,
+    ) -> float:
+        """Returns the expected wait of a new call, in seconds.
+
+        `turn_delay_s` returns the time until a call may be sent after this many others.
+        """
         position = (rank, began)
         calls, work_s = 0, 0.0
         for item in self._heap:
             if item[:2] <= position and item[2] not in self._removed:
                 calls += 1
                 work_s += item[4]
-        return calls, work_s
-
-    def expected_wait_s(self, rank: int, began: float, slots: int) -> float:
-        """Returns the expected wait of a new call for a slot, in seconds."""
-        _, work_s = self.calls_ahead(rank, began)
-        return work_s / max(1, slots)
+        return max(work_s / max(1, slots), turn_delay_s(calls))
 
     def push(self, job: object, rank: int, began: float, service_s: float) -> None:
         """Adds a call with its expected service time in seconds."""
--- a/src/marjoramvalve/mesh/sessions.py
+++ b/src/marjoramvalve/mesh/sessions.py
@@ -196,7 +196,7 @@
             session.stream.abort()  # Frames in flight on the old stream are no longer read.
         session.stream = stream
         stream.owner_data = session
-        self.ingress.apply_notices(hello.notices)
+        self.ingress.apply_notice(hello.notice)
         stream.send(FrameType.WELCOME, self._welcome_payload())
 
     def _on_request(self, session: Session, payload: bytes) -> None:
--- a/src/marjoramvalve/scenario/graphs.py
+++ b/src/marjoramvalve/scenario/graphs.py
@@ -179,8 +179,7 @@
     @property
     def usable(self) -> bool:
         """Returns whether the upstream accepts calls."""
-        self.stats.limit = max(1, self._ingress.limit)
-        self.stats.rate_per_s = self._ingress.rate_limiter.announced_per_s
+        self._update_limits()
         return self._ingress.ready
 
 
--- a/tests/soak_announcements.py
+++ b/tests/soak_announcements.py
@@ -7,11 +7,10 @@
 from dataclasses import dataclass, field
 
 from tests.platform_fleet import CrashingBackend
+from tests.rate_rules import allowed_in_window, most_in_window
 
-# The users' rules.
-WINDOW_S, EXCESS_FACTOR, EXCESS_REQUESTS = 4.0, 1.5, 5
-LIMIT_GRACE_S, TOLD_DELAY_S = 3.0, 0.5
-DRAIN_S = 2.0
+# From an announcement until the users' rules on it hold.
+LIMIT_GRACE_S, TOLD_DELAY_S, DRAIN_S = 3.0, 0.5, 2.0
 
 RATES_PER_S = (0.5, 2.0, 6.0, 12.0)
 LEAVING_PROBABILITY = 0.25
@@ -113,14 +112,7 @@
         if period.rate is None:
             late = sum(at > told + DRAIN_S + TOLD_DELAY_S for at, told in counted)
             return f"{name} got {late} requests after it said it was leaving" if late else ""
-        allowed = EXCESS_FACTOR * period.rate * WINDOW_S + EXCESS_REQUESTS
         times = [at for at, told in counted if at >= told + TOLD_DELAY_S]
-        most = max(
-            (
-                sum(begin <= at < begin + WINDOW_S for at in times)
-                for begin in times
-                if begin >= period.begin + LIMIT_GRACE_S
-            ),
-            default=0,
-        )
+        most = most_in_window(times, period.begin + LIMIT_GRACE_S)
+        allowed = allowed_in_window(period.rate)
         return f"{name} got {most} requests in 4 s at {period.rate}/s" if most > allowed else ""
--- a/tests/test_announced_rates.py
+++ b/tests/test_announced_rates.py
@@ -6,9 +6,9 @@
 from hypothesis import strategies as st
 
 from marjoramvalve.mesh.announced_rates import MIN_RATE_PER_S, AnnouncedRateLimiter
+from tests.rate_rules import allowed_in_window, most_in_window
 
 MAX_SENT = 10_000  # Ends the loop if nothing is limited.
-WINDOW_S, EXCESS_FACTOR, EXCESS_REQUESTS = 4.0, 1.5, 5  # The users' rule on announced limits.
 
 
 def limiter_at(rate, now=0.0):
@@ -39,9 +39,8 @@
     def test_no_window_gets_more_than_the_users_rule_allows(self, rate, idle_s):
         limiter = limiter_at(rate)
         times = send_while_possible(limiter, idle_s, idle_s + 9.0)
-        allowed = EXCESS_FACTOR * max(rate, MIN_RATE_PER_S) * WINDOW_S + EXCESS_REQUESTS
-        for at in times:
-            self.assertLessEqual(sum(at <= t < at + WINDOW_S for t in times), allowed)
+        allowed = allowed_in_window(max(rate, MIN_RATE_PER_S))
+        self.assertLessEqual(most_in_window(times), allowed)
 
     def test_demand_above_the_rate_uses_it_up(self):
         for rate in (0.3, 4.8, 15.5, 60.0):
--- a/tests/test_announcement_processes.py
+++ b/tests/test_announcement_processes.py
@@ -13,12 +13,12 @@
     ready_status,
     wait_until,
 )
+from tests.rate_rules import allowed_in_window
 
 CONTROLLERS, NODES = (1, 2, 3), (11, 12, 13)
 BACKEND_NODE = 13  # The other nodes have backends of another service.
 SLOTS, CONCURRENT_CALLS = 50, 40
-# The users' rule: one and a half times what the rate allows in 4 s, and five requests more.
-RATE_PER_S, MOST_REQUESTS = 0.25, 6
+RATE_PER_S = 0.25
 BACKEND_AGE_MS = 60_000
 
 
@@ -31,7 +31,7 @@
 
     def test_restarted_node_keeps_to_the_rate_announced_to_others(self):
         new_requests = asyncio.run(self._play(f"Server-Limit: {RATE_PER_S}\r\n"))
-        self.assertLessEqual(new_requests, MOST_REQUESTS)
+        self.assertLessEqual(new_requests, allowed_in_window(RATE_PER_S))
 
     def test_restarted_node_sends_nothing_to_a_backend_that_is_leaving(self):
         self.assertEqual(asyncio.run(self._play("Server-Leaving: 1\r\n")), 0)
--- a/tests/test_upstream_announcements.py
+++ b/tests/test_upstream_announcements.py
@@ -37,6 +37,45 @@
     return respond
 
 
+class AnnouncementTestCase(MeshTestCase):
+    """Base class of tests with two nodes, the second beside an upstream that announces things."""
+
+    @property
+    def remote_peer(self):
+        """Returns the second node as the first one knows it."""
+        return next(iter(self.bench.nodes[0].egress.peers.remote.values()))
+
+    def refuse_queued(self, headers):
+        """Makes a call wait behind one whose response has these headers.
+
+        Returns how many calls wait once that response has come, and the status and the
+        Retry-After of the one that waited.
+        """
+        release = asyncio.Event()
+
+        async def respond(request, writer):
+            await release.wait()
+            writer.write(ok_response(request, extra=headers))
+
+        async def play():
+            caller = await self.connect_pair(respond, slots=1)
+            other = await self.bench.connect_caller(self.bench.nodes[0])
+            ingress = self.bench.nodes[1].ingress
+            caller.send("/read/", "a1")
+            while not self.received_requests:
+                await asyncio.sleep(0.005)
+            other.send("/read/", "a2")
+            while not ingress.load[1]:
+                await asyncio.sleep(0.005)
+            release.set()
+            self.assertEqual((await caller.read_response())[0], 200)
+            waiting = ingress.load[1]
+            status, head, _ = await other.read_response()
+            return waiting, status, float(header_value(head, "Retry-After"))
+
+        return self.bench.run(play())
+
+
 class AnnouncementMetricsTests(MeshTestCase):
     """Metrics of what the upstream has announced."""
 
@@ -65,7 +104,7 @@
 LEAVING = "Marjoramvalve-Leaving: 1\r\n"
 
 
-class LeavingUpstreamTests(MeshTestCase):
+class LeavingUpstreamTests(AnnouncementTestCase):
     """An upstream that has said in a response that it is leaving."""
 
     async def leave(self):
@@ -93,28 +132,8 @@
         self.assertEqual(len(self.received_requests), 1)
 
     def test_its_queued_calls_are_refused(self):
-        release = asyncio.Event()
-
-        async def respond(request, writer):
-            await release.wait()
-            writer.write(ok_response(request, extra=LEAVING))
-
-        async def play():
-            caller = await self.connect_pair(respond, slots=1)
-            other = await self.bench.connect_caller(self.bench.nodes[0])
-            caller.send("/read/", "a1")
-            while not self.received_requests:
-                await asyncio.sleep(0.005)
-            other.send("/read/", "a2")
-            while not self.bench.nodes[1].ingress.load[1]:
-                await asyncio.sleep(0.005)
-            release.set()
-            statuses = [(await caller.read_response())[0]]
-            waiting = self.bench.nodes[1].ingress.load[1]
-            statuses.append((await other.read_response())[0])
-            return statuses, waiting
-
-        self.assertEqual(self.bench.run(play()), ([200, 503], 0))
+        waiting, status, _ = self.refuse_queued(LEAVING)
+        self.assertEqual((waiting, status), (0, 503))
         self.assertEqual(len(self.received_requests), 1)
 
     def test_a_late_heartbeat_does_not_bring_it_back(self):
@@ -127,7 +146,7 @@
     def test_another_start_at_its_address_is_used(self):
         async def announce(node):
             self.bench.set_upstream_state(node, "i-n1", started_at_ms=2)
-            peer = next(iter(self.bench.nodes[0].egress.peers.remote.values()))
+            peer = self.remote_peer
             while not peer.usable:
                 await asyncio.sleep(0.005)
 
@@ -139,7 +158,7 @@
         async def play():
             caller, node = await self.leave()
             await node.close()
-            peer = next(iter(self.bench.nodes[0].egress.peers.remote.values()))
+            peer = self.remote_peer
             while peer._stream is not None:
                 await asyncio.sleep(0.005)
             restarted = await self.bench.restart_node(node)
@@ -158,37 +177,12 @@
         self.assertEqual(self.restart_ingress(started_at_ms=2), 200)
 
 
-class RateChangeTests(MeshTestCase):
+class RateChangeTests(AnnouncementTestCase):
     """Announced rates that change while calls wait and egresses place calls."""
 
-    def stats(self):
-        """Returns what the egress of the first node knows of the upstream."""
-        return next(iter(self.bench.nodes[0].egress.peers.remote.values())).stats
-
     def test_queued_calls_that_would_wait_too_long_are_refused_when_the_rate_falls(self):
-        release = asyncio.Event()
-
-        async def respond(request, writer):
-            await release.wait()
-            writer.write(ok_response(request, extra="Marjoramvalve-Rate-Limit: 0.25\r\n"))
-
-        async def play():
-            caller = await self.connect_pair(respond, slots=1)
-            other = await self.bench.connect_caller(self.bench.nodes[0])
-            caller.send("/read/", "a1")
-            while not self.received_requests:
-                await asyncio.sleep(0.005)
-            other.send("/read/", "a2")
-            ingress = self.bench.nodes[1].ingress
-            while not ingress.load[1]:
-                await asyncio.sleep(0.005)
-            release.set()
-            await caller.read_response()
-            waiting = ingress.load[1]
-            status, head, _ = await other.read_response()
-            return waiting, status, float(header_value(head, "Retry-After"))
-
-        waiting, status, retry_after_s = self.bench.run(play())
+        headers = "Marjoramvalve-Rate-Limit: 0.25\r\n"
+        waiting, status, retry_after_s = self.refuse_queued(headers)
         self.assertEqual((waiting, status), (0, 503))
         self.assertGreater(retry_after_s, 1.0)
 
@@ -196,7 +190,7 @@
         async def play():
             caller = await self.connect_pair(announcing(["Marjoramvalve-Rate-Limit: 7\r\n"]))
             await caller.request("/read/", "a1")
-            return self.stats().rate_per_s
+            return self.remote_peer.stats.rate_per_s
 
         self.assertEqual(self.bench.run(play()), 7.0)
 
@@ -208,7 +202,7 @@
             for attempt, rate in enumerate((70, 60, 50)):
                 headers[0] = f"Marjoramvalve-Rate-Limit: {rate}\r\n"
                 await caller.request("/read/", f"a{attempt}")
-            while self.stats().rate_per_s != 50.0:
+            while self.remote_peer.stats.rate_per_s != 50.0:
                 await asyncio.sleep(0.005)
 
         self.bench.run(play())
@@ -340,10 +334,10 @@
         notices.record("a:1", told)
         notices.record("a:1", UpstreamNotice())
         notices.record("a:1", UpstreamNotice("i-1", 1, 4.0, False))
-        self.assertEqual(notices.recall("a:1"), (told,))
+        self.assertEqual(notices.recall("a:1"), told)
 
     def test_another_start_replaces_it(self):
         notices = UpstreamNotices()
         notices.record("a:1", UpstreamNotice("i-1", 1, 4.0, True))
         notices.record("a:1", UpstreamNotice("i-1", 2))
-        self.assertEqual(notices.recall("a:1"), ())
+        self.assertEqual(notices.recall("a:1"), UpstreamNotice("i-1", 2))
--- a/tests/test_upstream_limits.py
+++ b/tests/test_upstream_limits.py
@@ -4,12 +4,12 @@
 
 from marjoramvalve.scenario import AnnouncedLimits, CallGraphSimulation, GraphService
 from marjoramvalve.telemetry import set_up_logs
+from tests.rate_rules import allowed_in_window, most_in_window
 from tests.test_graphs import GOODPUT, HIGH_SUCCESS, routes
 
 LENGTH_S = 24.0
 LIMITED_FROM_S, LIMITED_UNTIL_S = 4.0, 18.0
-# The users' rule on announced limits.
-WINDOW_S, EXCESS_FACTOR, EXCESS_REQUESTS, GRACE_S = 4.0, 1.5, 5, 3.0
+GRACE_S = 3.0  # From the first announcement until the rule holds.
 
 SERVICES = (
     GraphService("catalogue", 45, (0.5, 1.0, 1.0, 1.5, 1.0)),
@@ -23,11 +23,6 @@
 )
 
 
-def most_in_window(times):
-    """Returns the largest number of these times in any window of the rule."""
-    return max((sum(at <= t < at + WINDOW_S for t in times) for at in times), default=0)
-
-
 class AnnouncedLimitTests(unittest.TestCase):
     """Upstreams of `catalogue` announce limits for a while."""
 
@@ -45,8 +40,7 @@
                 for at in result.arrivals[f"{announced.service}-{index}"]
                 if announced.begin_s + GRACE_S <= at < announced.end_s
             ]
-            most = EXCESS_FACTOR * rate * WINDOW_S + EXCESS_REQUESTS
-            self.assertLessEqual(most_in_window(times), most, (index, rate))
+            self.assertLessEqual(most_in_window(times), allowed_in_window(rate), (index, rate))
 
     def test_upstreams_get_no_more_requests_than_they_announce_to_accept(self):
         self.check_limits(self.simulate(SOME_LIMITED), SOME_LIMITED)
