--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -199,7 +199,7 @@
         self.slots = slots
         self.running = 0
         self.runs: dict[str, int] = {}
-        self.ended: dict[str, float] = {}
+        self.began: dict[str, float] = {}
         self.seq = 0
         self.born = int(time.time() * 1000)
         self.beating = True
@@ -249,12 +249,12 @@
             return 503, head + "X-Not-Executed: 1\r\n", b""
         self.running += 1
         self.runs[attempt] = self.runs.get(attempt, 0) + 1
+        self.began.setdefault(attempt, self.record.now())
         self.record.write(f"run    {attempt} {method} {path} at {self.instance} ({self.service})")
         try:
             deadline_s = int(headers.get("x-deadline-ms", "30000")) / 1000
             work_s = self.work_s(path)
             await asyncio.sleep(min(work_s, deadline_s))
-            self.ended[attempt] = self.record.now()
             stamp = f"X-Server-Stamp: {self.instance}.{attempt}\r\n"
             self.record.write(f"ran    {attempt} at {self.instance}")
             if work_s > deadline_s:
