Let the review's scripts end with status 2 on any error of their own

An uncaught error of a stand-in or a signal to the script ended it with status 1, which stands for a broken rule, or left its processes behind. Both now give status 2, with all processes ended: checked with a SIGTERM after four seconds.

--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -575,15 +575,20 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run() -> int:
-        fleet = Fleet(record)
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
+        fleet = None
         try:
+            fleet = Fleet(record)
             async with asyncio.timeout(110):
                 breaks = await play(fleet, record, trouble)
-        except (SetupError, TimeoutError, OSError) as exc:
+        except (Exception, asyncio.CancelledError) as exc:  # Status 1 is for broken rules only.
             record.write(f"could not run: {exc!r}")
             return 2
         finally:
-            fleet.close()
+            if fleet is not None:
+                fleet.close()
         for item in breaks:
             record.write(f"broken {item}")
         record.write("result: " + ("the rule was broken" if breaks else "the rule held"))
