Keep outcomes of calls until their egress has received them

Cause: an ingress dropped the outcome of a call 2 s after its end while it believed in the egress's stream. In a silent cut, and while the egress is paused, it goes on believing in it. Asked again, it found no record and said that the call had never arrived. A session that expired with running calls, or was created anew, said the same.

Outcomes are now kept until the egress has answered a ping that was sent after them. What is dropped without that raises a mark; a call up to it that is not known is reported as one that may have run. Sessions live as long as their calls, and frames of a replaced stream are ignored.

--- a/src/marjoramvalve/mesh/frames.py
+++ b/src/marjoramvalve/mesh/frames.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+MAX_CALL_ID = (1 << 64) - 1
+
 
 class FrameType(IntEnum):
     """Types of frames between egress and ingress nodes."""
@@ -54,12 +56,15 @@
     """Opens a stream for the calls of an egress. `session` identifies the egress process.
 
     `notice` tells what the egress remembers of the upstream at the ingress's address.
+    `last_call_id` is the highest ID of a call that it has sent to this ingress; an egress that
+    doesn't tell may have sent any.
     """
 
     session: int
     name: str
     domain: str
     notice: UpstreamNotice = UpstreamNotice()
+    last_call_id: int = MAX_CALL_ID
 
 
 class Welcome(msgspec.Struct, frozen=True, array_like=True):
--- a/src/marjoramvalve/mesh/peers.py
+++ b/src/marjoramvalve/mesh/peers.py
@@ -196,6 +196,7 @@
         self._reconnect_delay_s = MIN_RECONNECT_DELAY_S
         self._closed = False
         self._pinged_at = 0.0
+        self._last_call_id = 0
         self.is_unresponsive = False
         self.in_roster = True
 
@@ -248,6 +249,7 @@
         """Sends a call over the link."""
         now = self._loop.time()
         self.calls[call.call_id] = call
+        self._last_call_id = max(self._last_call_id, call.call_id)
         self.stats.in_flight += 1
         flags = REPEATABLE if call.repeatable else 0
         flags |= (IS_HEAD if call.is_head else 0) | (IS_SUB_CALL if call.is_sub_call else 0)
@@ -275,7 +277,11 @@
 
     def stream_opened(self, stream: FrameStream) -> None:
         """Identifies this egress to the ingress and tells what it remembers of its upstream."""
-        hello = msgspec.structs.replace(self._hello, notice=self._notices.recall(self.address))
+        hello = msgspec.structs.replace(
+            self._hello,
+            notice=self._notices.recall(self.address),
+            last_call_id=self._last_call_id,
+        )
         stream.send(FrameType.HELLO, msgspec.msgpack.encode(hello))
 
     def stream_closed(self, stream: FrameStream) -> None:
@@ -296,6 +302,8 @@
             self._on_error(kind, payload)
         elif kind == FrameType.WELCOME:
             self._on_welcome(stream, msgspec.msgpack.decode(payload, type=Welcome))
+        elif kind == FrameType.PING:
+            stream.send(FrameType.PONG, b"")
 
     def _on_welcome(self, stream: FrameStream, welcome: Welcome) -> None:
         previous, self._welcome = self._welcome, welcome
--- a/src/marjoramvalve/mesh/sessions.py
+++ b/src/marjoramvalve/mesh/sessions.py
@@ -2,11 +2,12 @@
 
 A session outlives its streams. After a reconnect, the egress lists the calls whose outcome it has
 not received. Each of them is still being processed, or has a stored outcome, or never arrived; a
-call that never arrived is refused and will not run.
+call that never arrived is refused and will not run. Frames arrive in order, so the answer to a ping
+acknowledges the outcomes that were sent before it. An outcome that had to be dropped before that
+may have been that of a call which ran.
 """
 
 import asyncio
-from collections import OrderedDict
 
 import msgspec
 import structlog
@@ -32,11 +33,11 @@
 )
 from marjoramvalve.mesh.ingress import Ingress
 from marjoramvalve.mesh.jobs import Job
+from marjoramvalve.mesh.outcomes import OutcomeStore
 
-# While a stream is up, outcomes are kept for several times as long as it takes to detect its loss.
-OUTCOME_TTL_S = 2.0
-DISCONNECTED_TTL_S = 12.0  # For a session without a stream, and for its outcomes.
+DISCONNECTED_TTL_S = 12.0  # For a session without a stream, calls and outcomes.
 SWEEP_INTERVAL_S = 1.0
+MAX_STORED_BYTES = 64 << 20  # Of all outcomes; the oldest of the largest session go first.
 
 log = structlog.get_logger("sessions")
 
@@ -44,21 +45,47 @@
 class Session:
     """The calls of one egress process and their recent outcomes."""
 
-    def __init__(self, session_id: int, name: str, server: "IngressServer") -> None:
+    def __init__(
+        self, session_id: int, name: str, last_call_id: int, server: "IngressServer"
+    ) -> None:
         self.session_id = session_id
         self.name = name
         self.stream: FrameStream | None = None
         self.disconnected_at = 0.0
         self.jobs: dict[int, Job] = {}
+        self.outcomes = OutcomeStore(last_call_id)
         self._server = server
-        self._outcomes: OrderedDict[int, tuple[float, int, bytes]] = OrderedDict()
+        self._pinged_after: int | None = None  # Transmissions before the unanswered ping.
+
+    def attach(self, stream: FrameStream) -> None:
+        """Uses a new stream."""
+        self.stream = stream
+        self._pinged_after = None
+
+    def detach(self, now: float) -> None:
+        """Goes on without a stream."""
+        self.stream = None
+        self.disconnected_at = now
 
     def _finish(self, job: Job, kind: FrameType, payload: bytes) -> None:
         self.jobs.pop(job.call_id, None)
-        self._outcomes[job.call_id] = (self._server.loop.time(), kind, payload)
+        self.outcomes.add(job.call_id, kind, payload, self._server.loop.time(), job.deadline)
         if self.stream is not None:
             self.stream.send(kind, payload)
 
+    def request_acknowledgement(self) -> None:
+        """Pings the egress if there are outcomes that it has not acknowledged."""
+        if self.stream is None or self._pinged_after is not None or not self.outcomes:
+            return
+        self._pinged_after = self.outcomes.transmissions
+        self.stream.send(FrameType.PING, b"")
+
+    def on_pong(self) -> None:
+        """Drops the outcomes that were sent before the ping."""
+        if self._pinged_after is not None:
+            self.outcomes.acknowledge(self._pinged_after)
+            self._pinged_after = None
+
     def _error_payload(self, call_id: int, code: ErrorCode, retry_after_s: float) -> bytes:
         running, waiting = self._server.ingress.load
         after_ms = min(int(retry_after_s * 1000), MAX_U32)
@@ -88,26 +115,33 @@
     def resume(self, call_ids: list[int]) -> None:
         """Sends the outcomes of these calls, which did not reach the egress.
 
-        Calls that are still being processed are skipped; calls that never arrived are refused.
+        Calls that are still being processed are skipped. Calls that never arrived are refused; it
+        is unknown whether a call ran if its outcome may have been dropped.
         """
+        now = self._server.loop.time()
         for call_id in call_ids:
-            outcome = self._outcomes.get(call_id)
+            outcome = self.outcomes.resend(call_id)
             if outcome is not None:
-                self.stream.send(outcome[1], outcome[2])
-            elif call_id not in self.jobs:
+                self.stream.send(outcome.kind, outcome.payload)
+            elif call_id in self.jobs:
+                continue
+            elif self.outcomes.may_know(call_id):
                 payload = self._error_payload(call_id, ErrorCode.NEVER_CAME, 0.0)
-                self._outcomes[call_id] = (self._server.loop.time(), FrameType.REFUSED, payload)
+                self.outcomes.add(call_id, FrameType.REFUSED, payload, now, now)
                 self.stream.send(FrameType.REFUSED, payload)
+            else:
+                log.warning("outcome.unknown", peer=self.name, call=call_id)
+                payload = self._error_payload(call_id, ErrorCode.LINK_LOST, 0.0)
+                self.stream.send(FrameType.FAILED, payload)
 
-    def expire_outcomes(self, now: float) -> bool:
-        """Drops expired outcomes. Returns False once the session itself has expired."""
-        ttl_s = OUTCOME_TTL_S if self.stream is not None else DISCONNECTED_TTL_S
-        while self._outcomes:
-            finished_at, _, _ = next(iter(self._outcomes.values()))
-            if now < finished_at + ttl_s:
-                break
-            self._outcomes.popitem(last=False)
-        return self.stream is not None or now < self.disconnected_at + DISCONNECTED_TTL_S
+    def is_expired(self, now: float) -> bool:
+        """Returns whether the egress has been gone for long and none of its calls is left."""
+        return not (
+            self.stream is not None
+            or self.jobs
+            or self.outcomes
+            or now < self.disconnected_at + DISCONNECTED_TTL_S
+        )
 
 
 class IngressServer:
@@ -131,10 +165,20 @@
     def _sweep_sessions(self) -> None:
         now = self.loop.time()
         for session_id, session in list(self._sessions.items()):
-            if not session.expire_outcomes(now):
+            session.outcomes.expire(now)
+            session.request_acknowledgement()
+            if session.is_expired(now):
                 del self._sessions[session_id]
+        self._limit_stored_bytes()
         self._sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self._sweep_sessions)
 
+    def _limit_stored_bytes(self) -> None:
+        stores = [session.outcomes for session in self._sessions.values()]
+        excess = sum(store.stored_bytes for store in stores) - MAX_STORED_BYTES
+        while excess > 0:
+            largest = max(stores, key=lambda store: store.stored_bytes)
+            excess -= largest.drop_oldest()
+
     def broadcast_state(self) -> None:
         """Sends the current state of the ingress to every connected egress."""
         payload = self._welcome_payload()
@@ -165,12 +209,13 @@
         """Marks the session as disconnected; its calls continue."""
         session = stream.owner_data
         if isinstance(session, Session) and session.stream is stream:
-            session.stream = None
-            session.disconnected_at = self.loop.time()
+            session.detach(self.loop.time())
 
     def stream_frame(self, stream: FrameStream, kind: int, payload: bytes) -> None:
         """Handles a frame from an egress."""
         session = stream.owner_data
+        if session is not None and session.stream is not stream:
+            return  # The egress has moved to a newer stream and counts on this one being dead.
         if kind == FrameType.REQUEST and session is not None:
             self._on_request(session, payload)
         elif kind == FrameType.CANCEL and session is not None:
@@ -182,6 +227,8 @@
                     session.jobs.pop(call_id, None)
         elif kind == FrameType.PING:
             stream.send(FrameType.PONG, b"")
+        elif kind == FrameType.PONG and session is not None:
+            session.on_pong()
         elif kind == FrameType.RESUME and session is not None:
             session.resume([item[0] for item in CALL_ID.iter_unpack(payload)])
         elif kind == FrameType.HELLO:
@@ -190,11 +237,12 @@
     def _on_hello(self, stream: FrameStream, hello: Hello) -> None:
         session = self._sessions.get(hello.session)
         if session is None:
-            session = self._sessions[hello.session] = Session(hello.session, hello.name, self)
+            session = Session(hello.session, hello.name, hello.last_call_id, self)
+            self._sessions[hello.session] = session
         elif session.stream is not None:
             log.info("session.moved", peer=hello.name)
             session.stream.abort()  # Frames in flight on the old stream are no longer read.
-        session.stream = stream
+        session.attach(stream)
         stream.owner_data = session
         self.ingress.apply_notice(hello.notice)
         stream.send(FrameType.WELCOME, self._welcome_payload())
@@ -211,6 +259,11 @@
             attempt_len,
             head_len,
         ) = REQUEST.unpack_from(payload)
+        if call_id in session.jobs:
+            return
+        if call_id in session.outcomes:
+            session.resume([call_id])
+            return
         offset = REQUEST.size
         route = payload[offset : offset + route_len]
         offset += route_len
