Fix the last request of a connection once when draining

Cause: each poll of the drain moved the mark of the last request to the newest one, and the connection went on passing on the requests behind it.

The first poll now determines the last request, nothing behind it is read, and "Connection: close" is added when a response is written. The node then ends its side only and reads on until the caller closes, since closing with unread bytes resets the connection and can destroy the response.

The transport double of test_endless counts the end of the response as the close.

--- a/src/marjoramvalve/h1/callers.py
+++ b/src/marjoramvalve/h1/callers.py
@@ -19,6 +19,7 @@
 MAX_UNSENT_BYTES = 16 << 20  # Response bytes buffered for a slow caller before it is disconnected.
 # A caller with unsent responses is disconnected this long after the last request or response data.
 SEND_TIMEOUT_S = 20.0
+LINGER_S = 1.0  # How long a caller has to close a connection after the last response on it.
 MAX_CHUNK_OVERHEAD = 8  # Framing bytes per body byte; enough for chunks of one byte.
 NO_BODY_STATUSES = frozenset({204, 304})
 STATUS_LINES = {
@@ -32,7 +33,8 @@
     """A complete request and its response.
 
     `head` holds the header lines to forward. `target` is the request target as received, except
-    that the query parameters that contain the caller's key are removed.
+    that the query parameters that contain the caller's key are removed. `response` holds the head
+    of the response, without its end, and the body.
     """
 
     __slots__ = (
@@ -65,7 +67,7 @@
         self.head = b""
         self.body = b""
         self.should_close = False
-        self.response: bytes | None = None
+        self.response: tuple[bytes, bytes] | None = None
         self.on_disconnect: Callable[[], None] | None = None
 
     def respond(self, status: int, head: bytes, body: bytes, close: bool = False) -> None:
@@ -76,17 +78,24 @@
         if self.response is not None:
             return
         self.on_disconnect = None
-        self.should_close = self.should_close or close or self.conn.closes_after(self)
+        self.should_close = self.should_close or close
         line = STATUS_LINES.get(status) or b"HTTP/1.1 %d Unknown\r\n" % status
-        ending = b"Connection: close\r\n\r\n" if self.should_close else b"\r\n"
         if status in NO_BODY_STATUSES:
-            self.response = line + head + ending
-        elif self.method == b"HEAD":
-            self.response = line + head + b"Content-Length: %d\r\n" % len(body) + ending
+            self.response = line + head, b""
         else:
-            self.response = line + head + b"Content-Length: %d\r\n" % len(body) + ending + body
+            framed = line + head + b"Content-Length: %d\r\n" % len(body)
+            self.response = framed, b"" if self.method == b"HEAD" else body
         self.conn.flush()
 
+    def take_response(self, closes: bool) -> bytes:
+        """Returns the encoded response and frees its memory: others may still hold the request.
+
+        `closes` tells whether the connection closes after it.
+        """
+        head, body = self.response
+        self.response = b"", b""
+        return b"".join((head, b"Connection: close\r\n\r\n" if closes else b"\r\n", body))
+
 
 class CallerConnection(asyncio.Protocol):
     """One connection from a caller."""
@@ -106,7 +115,8 @@
         self._in_head = False
         self._connection_options: set[bytes] = set()
         self._last_request: IncomingRequest | None = None
-        self._closing = False
+        self._closing = False  # No more requests are read.
+        self._lingers_until: float | None = None
         self.is_local = False
         self.last_active_at = self._loop.time()
         self.request_started_at = 0.0
@@ -169,7 +179,9 @@
     # Parser
 
     def on_message_begin(self) -> None:
-        """Starts a new request."""
+        """Starts a new request, unless the connection closes after an earlier one."""
+        if self._closing:
+            return
         self._request = IncomingRequest(self, self.last_active_at)
         self._header_lines = []
         self._body = []
@@ -181,12 +193,17 @@
 
     def on_url(self, url: bytes) -> None:
         """Appends a part of the request target."""
+        if self._request is None:
+            return
         self._request.target += url
         self._count_head_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Interprets, forwards or drops a header."""
-        self._count_head_bytes(len(name) + len(value) + 4)
+        if self._request is not None:
+            self._count_head_bytes(len(name) + len(value) + 4)
+        if self._request is None:
+            return
         lower = name.lower()
         field = self._server.fields_by_header.get(lower)
         if field is not None:
@@ -224,6 +241,8 @@
 
     def on_headers_complete(self) -> None:
         """Completes the head: drops hop-by-hop headers and removes the caller's key."""
+        if self._request is None:
+            return
         self._in_head = False
         self._parsed_bytes = self._received_bytes = 0
         lines = self._header_lines
@@ -242,6 +261,8 @@
 
     def on_body(self, part: bytes) -> None:
         """Appends a part of the body."""
+        if self._request is None:
+            return
         self._parsed_bytes += len(part)
         if self._parsed_bytes > self._server.limits.body_bytes:
             if not self._closing:
@@ -266,6 +287,7 @@
         if len(self._pending) > MAX_PIPELINED:
             self._fail(503, b"too many requests on one connection")
             return
+        self._closing = request is self._last_request
         self._server.handler(request)
 
     def _fail(self, status: int, detail: bytes) -> None:
@@ -280,39 +302,53 @@
 
     # Responses
 
-    def closes_after(self, request: IncomingRequest) -> bool:
-        """Returns whether the connection closes after the response to this request."""
-        return request is self._last_request
-
     def flush(self) -> None:
         """Writes the responses that are ready, up to the first request without one."""
         out = []
-        close = False
-        while self._pending and self._pending[0].response is not None and not close:
+        closes = False
+        while self._pending and self._pending[0].response is not None and not closes:
             request = self._pending.popleft()
-            out.append(request.response)
-            request.response = b""  # Frees the memory: others may still refer to the request.
-            close = request.should_close
+            closes = request.should_close or request is self._last_request
+            out.append(request.take_response(closes))
         if not out or self._transport is None:
             return
         self.last_active_at = self._loop.time()
         self._transport.write(out[0] if len(out) == 1 else b"".join(out))
-        if close:
+        if closes:
             self._closing = True
             self._notify_disconnected()
-            self._transport.close()
+            self._linger()
 
-    def close_when_idle(self) -> None:
-        """Closes the connection now if it is idle, else after the last pending response."""
-        if self._request is None and not self._pending:
-            self._closing = True
-            if self._transport is not None:
-                self._transport.close()
-        elif self._pending and self._pending[-1].response is None:
+    def _linger(self) -> None:
+        """Ends the responses, and closes once the caller has closed too or after a timeout.
+
+        Closing while the caller still sends would reset the connection, and the caller could lose a
+        response that it has not read.
+        """
+        self._lingers_until = self._loop.time() + LINGER_S
+        if not self._transport.is_closing():
+            self._transport.write_eof()
+
+    def close_after_pending(self) -> None:
+        """Closes the connection after the requests that it has received or begun to receive.
+
+        Those sent behind them are not read; their callers send them again elsewhere.
+        """
+        if self._closing or self._last_request is not None:
+            return
+        if self._request is not None:
+            self._last_request = self._request
+        elif self._pending:
             self._last_request = self._pending[-1]
+            self._closing = True
+        else:
+            self._closing = True
+            self.close()
 
     def is_busy(self, now: float) -> bool:
-        """Returns whether a request is in progress or arriving, or a response is unsent."""
+        """Returns whether a request is in progress or arriving, or a response on its way."""
+        if self._lingers_until is not None and now < self._lingers_until:
+            return True
         if self._pending or (
             self._request is not None and now < self.last_active_at + STALLED_REQUEST_S
         ):
@@ -333,12 +369,15 @@
             unsent_bytes and now > self.last_active_at + SEND_TIMEOUT_S
         ):
             self._transport.abort()
+        elif self._lingers_until is not None:
+            if not unsent_bytes and now > self._lingers_until:
+                self._transport.abort()
         elif self._in_head and now > self.request_started_at + limits.header_ms / 1000:
             self._fail(408, b"request head did not come in time")
         elif self._request is not None and now > self.last_active_at + limits.idle_ms / 1000:
             self._fail(408, b"request body did not come in time")
         elif not self._pending and now > self.last_active_at + limits.idle_ms / 1000:
-            self.close_when_idle()
+            self.close_after_pending()
 
 
 class CallerServer:
@@ -389,10 +428,10 @@
         if self._server is not None:
             self._server.close()
 
-    def close_when_idle(self) -> None:
+    def close_after_pending(self) -> None:
         """Closes idle connections now and the others after their pending responses."""
         for conn in list(self.connections):
-            conn.close_when_idle()
+            conn.close_after_pending()
 
     def is_busy(self) -> bool:
         """Returns whether closing now would lose a caller's request or response."""
--- a/src/marjoramvalve/mesh/nodes.py
+++ b/src/marjoramvalve/mesh/nodes.py
@@ -155,7 +155,7 @@
         self.ingress.stop_accepting()
         self.callers.stop_listening()
         while clock() < started_at + self.options.drain_timeout_s:
-            self.callers.close_when_idle()
+            self.callers.close_after_pending()
             if not (self.egress.active_calls or self.ingress.running or self.callers.is_busy()):
                 break
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
--- a/src/marjoramvalve/scenario/graphs.py
+++ b/src/marjoramvalve/scenario/graphs.py
@@ -57,11 +57,8 @@
         self._on_response_received = on_response_received
         self.request: IncomingRequest | None = None
 
-    def closes_after(self, request: IncomingRequest) -> bool:
-        return False
-
     def flush(self) -> None:
-        output = self.request.response
+        output = self.request.take_response(False)
         self._on_response_received(int(output[9:12]), output)
 
 
--- a/tests/simulated_links.py
+++ b/tests/simulated_links.py
@@ -258,11 +258,8 @@
         self._on_response = on_response
         self.request: IncomingRequest | None = None
 
-    def closes_after(self, request) -> bool:
-        return False
-
     def flush(self) -> None:
-        self._on_response(int(self.request.response[9:12]))
+        self._on_response(int(self.request.take_response(False)[9:12]))
 
 
 class SimulatedNode:
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -127,7 +127,7 @@
 
 
 class RecordingTransport(asyncio.Transport):
-    """A transport that records the data written to it."""
+    """A transport that records the data written to it, and whether that has ended."""
 
     def __init__(self):
         super().__init__()
@@ -140,7 +140,10 @@
     def close(self):
         self.closed = True
 
-    abort = close
+    abort = write_eof = close
+
+    def is_closing(self):
+        return False
 
     def get_write_buffer_size(self):
         return 0
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -1,6 +1,7 @@
 """Tests of calls between two mesh nodes, on loopback sockets."""
 
 import asyncio
+import contextlib
 import types
 import unittest
 from dataclasses import replace
@@ -580,6 +581,95 @@
         self.assertEqual(self.bench.run(scenario()), (200, size))
 
 
+class PipelinedDrainTests(MeshTestCase):
+    """Draining of a node whose callers send requests ahead of the responses to earlier ones."""
+
+    async def send_ahead(self, node, ahead, sent):
+        """Keeps `ahead` requests under way until the connection ends; returns the answered ones."""
+        caller = await self.bench.connect_caller(node)
+        answered = []
+        waiting = []
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                while len(waiting) < ahead:
+                    attempt = f"a{len(sent)}"
+                    sent.append(attempt)
+                    caller.send("/read/", attempt)
+                    waiting.append(attempt)
+                status, head, body = await caller.read_response()
+                if status == 200:
+                    self.assertEqual(body.decode(), waiting[0])
+                answered.append(waiting.pop(0))
+                if header_value(head, "Connection") == "close":
+                    break
+        self.assertEqual(await caller.reader.read(), b"")
+        caller.writer.close()
+        return answered
+
+    def check_drain(self, work_s, ahead):
+        """Drains a node with pipelined requests: those that an upstream has run are answered."""
+
+        async def work(request, writer):
+            attempt = header_value(request, REQUEST_ID)
+            await asyncio.sleep(work_s * (1 + int(attempt[1:]) % 3))
+            writer.write(ok_response(request, attempt.encode()))
+
+        async def scenario():
+            await self.connect_pair(work, slots=200)
+            front = self.bench.nodes[0]
+            sent = []
+            callers = [asyncio.ensure_future(self.send_ahead(front, ahead, sent)) for _ in range(4)]
+            await asyncio.sleep(0.15)
+            await front.drain(asyncio.get_running_loop().time)
+            await front.close()
+            return [attempt for caller in callers for attempt in await caller]
+
+        answered = self.bench.run(scenario())
+        ran = {header_value(request, REQUEST_ID) for request in self.received_requests}
+        self.assertGreater(len(ran), 8)
+        self.assertEqual(ran - set(answered), set())
+
+    def test_short_requests_that_were_passed_on_are_answered(self):
+        self.check_drain(0.005, 2)
+
+    def test_requests_as_long_as_a_poll_are_answered(self):
+        self.check_drain(0.02, 3)
+
+    def test_long_requests_that_were_passed_on_are_answered(self):
+        self.check_drain(0.2, 3)
+
+    def test_many_requests_that_were_passed_on_are_answered(self):
+        self.check_drain(0.04, 30)
+
+    def test_last_response_survives_requests_sent_behind_it(self):
+        size = 8 << 20
+
+        async def large(request, writer):
+            await asyncio.sleep(0.4)
+            writer.write(ok_response(request, b"x" * size))
+
+        async def scenario():
+            caller = await self.connect_pair(large)
+            front = self.bench.nodes[0]
+            caller.writer.transport.pause_reading()
+            caller.send("/read/", "a1")
+            stop = asyncio.ensure_future(front.drain(asyncio.get_running_loop().time))
+            while front.ingress.ready:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.05)
+            for number in range(40):
+                await asyncio.sleep(0.02)
+                caller.send("/read/", f"b{number}")
+            caller.writer.transport.resume_reading()
+            _, _, body = await caller.read_response()
+            rest = await caller.reader.read()
+            await stop
+            return len(body), rest
+
+        self.assertEqual(self.bench.run(scenario()), (size, b""))
+        self.assertEqual(len(self.received_requests), 1)
+
+
 class ColdUpstreamTests(MeshTestCase):
     """An upstream that is slow after its start, as its heartbeats say."""
 
