Treat the departure of an upstream as final

Cause: a deregistration was applied as a state at the sequence number of the newest heartbeat received. It has none of its own, so a late heartbeat counted as newer. A node that had just started dropped a deregistration altogether.

The ingress now records which runs of upstreams have departed and ignores what arrives from them later. A departure is announced like an upstream that says it is leaving, so callers' nodes tell a restarted ingress.

--- a/src/marjoramvalve/mesh/announcements.py
+++ b/src/marjoramvalve/mesh/announcements.py
@@ -11,6 +11,7 @@
 
 from marjoramvalve.h1 import UpstreamResponse
 from marjoramvalve.mesh.announced_rates import AnnouncedRateLimiter
+from marjoramvalve.mesh.departures import DepartedUpstreams
 from marjoramvalve.mesh.frames import UpstreamNotice
 from marjoramvalve.mesh.jobs import UpstreamState
 
@@ -43,6 +44,7 @@
         self._state = UpstreamState()
         self._has_responded = False
         self._notices: OrderedDict[tuple[str, int], UpstreamNotice] = OrderedDict()
+        self._departed = DepartedUpstreams()
         self._has_said_leaving = False
         self.is_leaving = False
         self.rate_limiter = AnnouncedRateLimiter()
@@ -53,6 +55,37 @@
             notice.is_leaving for notice in self._notices.values() if self._is_current(notice)
         )
 
+    def record_departure(self, instance: str, started_at_ms: int, now: float) -> bool:
+        """Records that a run of an upstream has announced its end.
+
+        A run whose start is not told is the one that is known under its name. Returns whether it is
+        the one that runs now.
+        """
+        state = self._state
+        self._departed.record(instance, started_at_ms or self._known_start_ms(instance), now)
+        if not self.has_departed(state.instance, state.started_at_ms, now):
+            return False
+        previous = self._announced
+        self._has_said_leaving = self.is_leaving = True
+        return self._log_change(previous, b"")
+
+    def _known_start_ms(self, instance: str) -> int:
+        """Returns when the run of an upstream started that is not leaving, 0 if unknown."""
+        if instance == self._state.instance and self._state.started_at_ms:
+            return self._state.started_at_ms
+        return max(
+            (
+                notice.started_at_ms
+                for notice in self._notices.values()
+                if notice.instance == instance and not notice.is_leaving
+            ),
+            default=0,
+        )
+
+    def has_departed(self, instance: str, started_at_ms: int, now: float) -> bool:
+        """Returns whether a run of an upstream has announced its end. The start may be unknown."""
+        return self._departed.has_departed(instance, started_at_ms, now)
+
     def _is_current(self, notice: UpstreamNotice) -> bool:
         state = self._state
         return bool(state.instance) and is_same_incarnation(
@@ -102,15 +135,19 @@
         self._has_responded = True
         previous = self._announced
         is_changed = self.rate_limiter.record(response.rate_limits, now)
+        self._record_leaving(response)
+        return self._log_change(previous, request) or is_changed
+
+    def _record_leaving(self, response: UpstreamResponse) -> None:
         if response.leaving.strip() == LEAVING_VALUE:
             self._has_said_leaving = self.is_leaving = True
-        return self._log_change(previous, request) or is_changed
 
     def record_probe(self, response: UpstreamResponse, now: float) -> bool:
         """Records the rate in a response to a health check, which may lack it."""
         previous = self._announced
         if response.rate_limits:
             self.rate_limiter.record(response.rate_limits, now)
+        self._record_leaving(response)
         return self._log_change(previous, b"")
 
     def remember(self, notice: UpstreamNotice, now: float) -> bool:
--- a/src/marjoramvalve/mesh/ingress.py
+++ b/src/marjoramvalve/mesh/ingress.py
@@ -13,6 +13,7 @@
 from marjoramvalve.mesh.jobs import Job, RunStats, UpstreamState
 from marjoramvalve.mesh.quarantines import Quarantine
 from marjoramvalve.mesh.queues import CallQueue, ServiceTimes
+from marjoramvalve.mesh.rate_logs import RateLog
 from marjoramvalve.mesh.saturation import SaturationEstimator
 from marjoramvalve.mesh.timers import DeadlineScheduler
 
@@ -26,7 +27,6 @@
 MAX_LOGGED_RUNS = 5  # Requests listed when the upstream crashes; each also has its own log line.
 BODY_METHODS = (b"POST", b"PUT", b"PATCH")
 MIN_PACING_DELAY_S = 0.001  # A timer that fires too early must not fire again immediately.
-RATE_USAGE_LOG_INTERVAL_S = 1.0
 NOTICE_INTERVAL_S = 0.2  # Between changes of a rate that the egresses are told.
 
 log = structlog.get_logger("ingress")
@@ -65,12 +65,11 @@
         self._is_checking_listener = False
         self.upstream_crashes = 0
         self.sent_requests = 0
-        self.rate_limited_calls = 0
         self._start_timer: asyncio.TimerHandle | None = None
         self.announcements = announcements or UpstreamAnnouncements()
         self._told_kinds = self.announcements.announced_kinds
         self._notice_timer: asyncio.TimerHandle | None = None
-        self._rate_usage_logged = (0.0, 0)  # When, and how many requests had been sent by then.
+        self.rate_log = RateLog()
         self.quarantine = quarantine
         self.on_change = lambda: None
 
@@ -118,10 +117,28 @@
         """Returns the number of running and of queued calls."""
         return self._running_count, len(self._queue)
 
+    def record_departure(self, instance: str, started_at_ms: int = 0) -> None:
+        """Sends nothing more to a run of an upstream that has announced its end.
+
+        `started_at_ms` is when it started, in Unix milliseconds, 0 if unknown.
+        """
+        now = self._loop.time()
+        if not self.state.instance:
+            self.set_state(UpstreamState(instance, self._service, started_at_ms=started_at_ms))
+        if self.announcements.record_departure(instance, started_at_ms, now):
+            self._on_announced(now)
+
     def set_state(self, state: UpstreamState) -> None:
-        """Applies the state announced by the upstream; refuses queued calls if it is not ready."""
+        """Applies the state announced by the upstream; refuses queued calls if it is not ready.
+
+        The state of a run that has announced its end is ignored: it was sent before that.
+        """
+        now = self._loop.time()
+        if self.announcements.has_departed(state.instance, state.started_at_ms, now):
+            log.info("upstream.late_state", instance=state.instance, born=state.started_at_ms)
+            return
         previous, self.state = self.state, state
-        self.announcements.set_state(state, self._loop.time())
+        self.announcements.set_state(state, now)
         self._told_kinds = self.announcements.announced_kinds
         if not is_same_incarnation(state.instance, state.started_at_ms, previous):
             self._shed_limit = float(state.slots)
@@ -223,20 +240,8 @@
         )
 
     def _log_rate_limited(self, job: Job, wait_s: float, now: float) -> None:
-        """Logs and counts the refusal of a call if the upstream announces a rate."""
-        if self.rate_limiter.per_s is None:
-            return
-        self.rate_limited_calls += 1
-        log.info(
-            "call.rate_limited",
-            request=job.attempt,
-            rank=job.rank,
-            instance=self.state.instance,
-            limit_per_s=self.rate_limiter.per_s,
-            limit_age_s=round(now - self.rate_limiter.changed_at, 2),
-            waiting=len(self._queue),
-            wait_s=round(wait_s, 3),
-        )
+        limiter, waiting = self.rate_limiter, len(self._queue)
+        self.rate_log.log_refused(job, self.state.instance, limiter, waiting, wait_s, now)
 
     def _recheck_queued(self, now: float) -> None:
         """Refuses the queued calls that would wait for too long at a changed rate."""
@@ -281,7 +286,9 @@
         self._deadlines.add(job.deadline + DEADLINE_GRACE_S, lambda: self._expire(job))
         self.rate_limiter.take(now)
         self.sent_requests += 1
-        self._log_rate_usage(now)
+        self.rate_log.log_usage(
+            self.state.instance, self.rate_limiter, self.sent_requests, *self.load, now
+        )
         self.pool.send(job.exchange)
 
     def _refuse_if_quarantined(self, job: Job, now: float) -> bool:
@@ -382,23 +389,6 @@
         self._notice_timer = None
         self.on_change()
 
-    def _log_rate_usage(self, now: float) -> None:
-        """Logs the rate of requests about once per second while the upstream announces a limit."""
-        logged_at, sent_requests = self._rate_usage_logged
-        if now < logged_at + RATE_USAGE_LOG_INTERVAL_S:
-            return
-        self._rate_usage_logged = (now, self.sent_requests)
-        if self.rate_limiter.announced_per_s is not None:
-            log.info(
-                "upstream.rate_usage",
-                instance=self.state.instance,
-                limit_per_s=self.rate_limiter.per_s,
-                limit_age_s=round(now - self.rate_limiter.changed_at, 2),
-                sent_per_s=round((self.sent_requests - sent_requests) / (now - logged_at), 1),
-                running=self._running_count,
-                waiting=len(self._queue),
-            )
-
     def _refuse_sent(self, job: Job, code: ErrorCode, retry_after_s: float) -> None:
         job.done = True
         job.callbacks.job_refused(job, code, retry_after_s)
--- a/src/marjoramvalve/mesh/nodes.py
+++ b/src/marjoramvalve/mesh/nodes.py
@@ -127,7 +127,7 @@
         metrics.set("upstream_ready", float(self.ingress.ready))
         metrics.set("upstream_connections_opened", self.ingress.pool.opened_connections)
         metrics.set("upstream_ends", self.ingress.upstream_crashes)
-        metrics.set("upstream_rate_limited_calls", self.ingress.rate_limited_calls)
+        metrics.set("upstream_rate_limited_calls", self.ingress.rate_log.refused_calls)
         metrics.set("upstream_requests_sent", self.ingress.sent_requests)
         metrics.set("upstream_leaving", float(self.ingress.announcements.is_leaving))
         now = asyncio.get_running_loop().time()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -15,7 +15,7 @@
 sys.path.append(str(ROOT / "platform"))
 
 from adapter.documents import parse_config  # noqa: E402
-from adapter.heartbeats import apply_deregistration, apply_heartbeat  # noqa: E402
+from adapter.heartbeats import apply_heartbeat, parse_deregistration  # noqa: E402
 from adapter.settings import load_settings  # noqa: E402
 
 from marjoramvalve.fleet.states import unpack_document  # noqa: E402
@@ -145,10 +145,11 @@
         self.assertIsNone(self.apply(self.state, b"\xff{"))
 
     def test_deregistration(self):
-        self.assertFalse(apply_deregistration(self.state, "i-1", b"").ready)
-        self.assertFalse(apply_deregistration(self.state, "i-1", b'{"born":1000,"seq":9}').ready)
-        self.assertTrue(apply_deregistration(self.state, "i-2", b"").ready)
-        self.assertTrue(apply_deregistration(self.state, "i-1", b'{"born":999}').ready)
+        self.assertEqual(parse_deregistration(b""), 0)
+        self.assertEqual(parse_deregistration(b"{}"), 0)
+        self.assertEqual(parse_deregistration(b'{"born":1000,"seq":9}'), 1000)
+        for raw in (b'{"born":"soon"}', b'{"born":1.5}', b"[]", b"\xff", b"{"):
+            self.assertIsNone(parse_deregistration(raw), raw)
 
 
 class BoundaryTests(unittest.TestCase):
