Refuse heartbeats that name no sound upstream

Cause: only the types of the fields in use were checked, not their ranges nor that the message is complete, and a handler that failed left its request without an answer.

Incomplete messages, numbers out of range, addresses that can't be connected to and names that don't fit in a header are answered 400 before anything changes. A request whose handler fails is answered 500.

Evidence: tests.test_control_api.OddHeartbeatTests and FailingHandlerTests fail on the parent (22 cases in OverflowError, 3 without an answer, the others accepted) and pass now.

--- a/src/marjoramvalve/h1/callers.py
+++ b/src/marjoramvalve/h1/callers.py
@@ -6,6 +6,7 @@
 from http import HTTPStatus
 
 import httptools
+import structlog
 
 from marjoramvalve.h1.headers import CONNECTION_HEADERS, HeaderNames
 from marjoramvalve.h1.redaction import remove_key, remove_key_from_query
@@ -28,6 +29,8 @@
 }
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
+log = structlog.get_logger("callers")
+
 
 class IncomingRequest:
     """A complete request and its response.
@@ -288,7 +291,15 @@
             self._fail(503, b"too many requests on one connection")
             return
         self._closing = request is self._last_request
-        self._server.handler(request)
+        self._handle(request)
+
+    def _handle(self, request: IncomingRequest) -> None:
+        """Passes a request to the handler; one that it fails on is answered all the same."""
+        try:
+            self._server.handler(request)
+        except Exception as exc:
+            log.exception("request.failed", request=request.attempt, error=repr(exc))
+            request.respond(500, b"Content-Type: text/plain\r\n", b"internal error", close=True)
 
     def _fail(self, status: int, detail: bytes) -> None:
         """Responds with an error after the pending responses, then closes the connection."""
--- a/src/marjoramvalve/links/frames.py
+++ b/src/marjoramvalve/links/frames.py
@@ -4,6 +4,8 @@
 """
 
 import asyncio
+import errno
+import re
 import struct
 from typing import Protocol
 
@@ -27,6 +29,16 @@
         """Called when the stream was closed by either side."""
 
 
+ADDRESS_PATTERN = re.compile(r"[A-Za-z0-9.-]{1,253}:(?P<port>[0-9]{1,5})")
+MAX_PORT = 65_535
+
+
+def is_address(address: str) -> bool:
+    """Returns whether this is a host and a port that can be connected to, as `host:port`."""
+    match = ADDRESS_PATTERN.fullmatch(address)
+    return match is not None and 1 <= int(match["port"]) <= MAX_PORT
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Splits `host:port` into host and port."""
     host, _, port = address.rpartition(":")
@@ -149,6 +161,8 @@
 
 async def connect_stream(address: str, owner: StreamOwner) -> FrameStream:
     """Connects to `host:port`. Raises OSError or TimeoutError."""
+    if not is_address(address):
+        raise OSError(errno.EINVAL, f"not an address: {address[:300]!r}")
     loop = asyncio.get_running_loop()
     host, port = split_address(address)
     async with asyncio.timeout(CONNECT_S):
--- a/tests/test_control_api.py
+++ b/tests/test_control_api.py
@@ -17,6 +17,7 @@
 
 from benches.fleets import free_address  # noqa: E402
 from marjoramvalve.h1 import CallerServer  # noqa: E402
+from marjoramvalve.mesh import UpstreamState  # noqa: E402
 from marjoramvalve.telemetry import set_up_logs  # noqa: E402
 from tests.meshes import Caller  # noqa: E402
 from tests.platform_fleet import heartbeat, settings_file  # noqa: E402
@@ -88,3 +89,95 @@
         for body in (b"[]", b"\xff", b'{"born":"soon"}'):
             self.assertEqual(self.deregister(body=body), 400)
         self.assertTrue(self.ingress.ready)
+
+
+ODD_HEARTBEATS = {
+    "nested": b'{"service":"s1","x":' + b"[" * 100_000 + b"]" * 100_000 + b"}",
+    "only brackets": b"[" * 100_000,
+    "not UTF-8": heartbeat().replace(b'"v1"', b'"\xff"'),
+    "cut short": heartbeat()[:-9],
+    "empty": b"",
+    "list": b"[" + heartbeat() + b"]",
+}
+ODD_FIELDS = (
+    *({"capacity": value} for value in (0, -1, 1e308, 10**30, 1 << 63, "many", None, [7])),
+    *({"seq": value} for value in (-1, 10**30, 1 << 64, 2.5, None, "4")),
+    *({"born": value} for value in (-1, 10**30, 1 << 64, 1.5, 1 << 62, "1000")),
+    *({"coldLeftMs": value} for value in (-1, 1e308, 10**30, "0")),
+    *({"address": value} for value in ("", "host", ":80", "a:0", "a:65536", "a:-1", "a b:1", 5)),
+    *({"address": value} for value in ("a:99999999", "a:8\u0660", "\u00e9:80", ["127.0.0.1:80"])),
+    *({name: None} for name in ("zone", "version", "service", "state")),
+    *({"state": value} for value in ("gone", "Ready", 1)),
+    {"service": "s2"},
+)
+REQUIRED_FIELDS = (
+    "service",
+    "address",
+    "zone",
+    "version",
+    "capacity",
+    "state",
+    "coldLeftMs",
+    "seq",
+)
+
+
+class OddHeartbeatTests(ControlApiTestCase):
+    """Heartbeats of another writer: they are refused, change nothing and reach nobody."""
+
+    def check_refused(self, path, body):
+        """Posts a message to a node that knows a sound upstream, which must stay in use."""
+        self.assertEqual(self.beat(seq=4), 200)
+        state, told = self.ingress.state, []
+        self.ingress.on_change = lambda: told.append(self.ingress.state)
+        status = self.post(path, body)
+        self.assertTrue(400 <= status < 500, status)
+        self.assertEqual((self.ingress.state, told), (state, []))
+        self.ingress.on_change = self.program.node.sessions.broadcast_state
+        self.program.node.sessions._welcome_payload()
+        self.assertEqual(self.beat(seq=5), 200)
+        self.assertEqual((self.ingress.state.seq, self.ingress.ready), (5, True))
+
+    def check_heartbeat_refused(self, body, name):
+        for instance in ("i-1", "i-2"):
+            with self.subTest(name, instance=instance):
+                self.check_refused(f"/instances/{instance}/heartbeat", body)
+                self.program.node.ingress.state = UpstreamState()
+
+    def test_heartbeat_that_can_not_be_read_is_refused(self):
+        for name, body in ODD_HEARTBEATS.items():
+            self.check_heartbeat_refused(body, name)
+
+    def test_heartbeat_with_an_odd_field_is_refused(self):
+        for fields in ODD_FIELDS:
+            self.check_heartbeat_refused(heartbeat(**{"born": 2000, **fields}), str(fields))
+
+    def test_heartbeat_without_a_field_is_refused(self):
+        for field in REQUIRED_FIELDS:
+            fields = json.loads(heartbeat(born=2000))
+            del fields[field]
+            self.check_heartbeat_refused(json.dumps(fields).encode(), field)
+
+    def test_odd_name_is_refused(self):
+        for name in ("%20" * 100, "a/b", "\u00e9", "x" * 257):
+            with self.subTest(name):
+                self.check_refused(f"/instances/{name}/heartbeat", heartbeat(born=2000))
+                self.program.node.ingress.state = UpstreamState()
+
+    def test_odd_deregistration_is_refused(self):
+        bodies = (b"[" * 100_000, b'{"born":' + b"9" * 30 + b"}", b'{"born":-1}', b"\xff")
+        for body in (*bodies, b'{"born":4611686018427387904}'):
+            with self.subTest(body[:40]):
+                self.check_refused("/instances/i-1/deregister", body)
+                self.program.node.ingress.state = UpstreamState()
+
+
+class FailingHandlerTests(ControlApiTestCase):
+    """A request on which a handler fails."""
+
+    def test_request_is_answered_when_its_handler_fails(self):
+        def fail(request):
+            raise ValueError("the test's own")
+
+        self._server.handler = fail
+        self.assertEqual(self.post("/any"), 500)
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -65,7 +65,7 @@
     def hear(self, ingress, instance, **fields):
         """Passes a heartbeat to an ingress."""
         now = self.loop.time()
-        state = apply_heartbeat(ingress.state, instance, heartbeat(**fields), "s1", now)
+        state = apply_heartbeat(ingress.state, instance, heartbeat(**fields), "s1", now, 1e6)
         ingress.set_state(state)
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -39,6 +39,7 @@
     wait_until,
 )
 
+NOW_MS = 1e9
 PLATFORM_NAMES = re.compile(
     r"\b(sidecar|tenant|tenants|virtualHosts|pathPrefix|goalMs|apiKeys|ratePerS|maxConns|coldLeftMs"
     r"|heartbeatAddr|bootstrap|faultCounted|readyz|deregister|X-Attempt-Id|X-Credential"
@@ -104,7 +105,7 @@
     """Heartbeats and deregistrations of upstreams."""
 
     def apply(self, state, raw, instance="i-1"):
-        return apply_heartbeat(state, instance, raw, "s1", 50.0)
+        return apply_heartbeat(state, instance, raw, "s1", 50.0, NOW_MS)
 
     def setUp(self):
         self.state = self.apply(UpstreamState(), heartbeat())
@@ -145,11 +146,11 @@
         self.assertIsNone(self.apply(self.state, b"\xff{"))
 
     def test_deregistration(self):
-        self.assertEqual(parse_deregistration(b""), 0)
-        self.assertEqual(parse_deregistration(b"{}"), 0)
-        self.assertEqual(parse_deregistration(b'{"born":1000,"seq":9}'), 1000)
+        self.assertEqual(parse_deregistration(b"", NOW_MS), 0)
+        self.assertEqual(parse_deregistration(b"{}", NOW_MS), 0)
+        self.assertEqual(parse_deregistration(b'{"born":1000,"seq":9}', NOW_MS), 1000)
         for raw in (b'{"born":"soon"}', b'{"born":1.5}', b"[]", b"\xff", b"{"):
-            self.assertIsNone(parse_deregistration(raw), raw)
+            self.assertIsNone(parse_deregistration(raw, NOW_MS), raw)
 
 
 class BoundaryTests(unittest.TestCase):
