Drop odd frames between processes and odd entries of rosters

A call whose outcome had an unknown code waited for its deadline.

Fields of messages have ranges now, which the decoder checks, and nodes leave odd entries of a roster out. A frame that can't be decoded closes its own stream. An unknown code counts as the weakest outcome of its kind.

--- a/src/marjoramvalve/fleet/control_plane_clients.py
+++ b/src/marjoramvalve/fleet/control_plane_clients.py
@@ -31,6 +31,7 @@
 from marjoramvalve.fleet.reconnecting_links import ReconnectingLink
 from marjoramvalve.fleet.states import unpack_document
 from marjoramvalve.fleet.tokens import TokenCache
+from marjoramvalve.links import is_address
 from marjoramvalve.model import Document
 from marjoramvalve.retries import CrashedRun
 
@@ -147,7 +148,7 @@
     # Links
 
     def _connect(self, address: str) -> None:
-        if address not in self._links:
+        if address not in self._links and is_address(address):
             link = ReconnectingLink(address, self._on_link_open, self._on_link_frame)
             self._links[address] = link
             link.start()
@@ -335,7 +336,9 @@
             for address, entry in roster_entries.items()
             if address not in roster.removed
         }
-        roster_entries.update({entry.address: entry for entry in roster.entries})
+        roster_entries.update(
+            {entry.address: entry for entry in roster.entries if is_address(entry.address)}
+        )
         self._rosters[link.address] = roster_entries
         self._update_peers()
 
--- a/src/marjoramvalve/fleet/messages.py
+++ b/src/marjoramvalve/fleet/messages.py
@@ -2,10 +2,13 @@
 
 import zlib
 from enum import IntEnum
+from typing import Annotated
 
 import msgspec
+import structlog
 
 from marjoramvalve.idempotency import Order, OrderOutcome
+from marjoramvalve.links import ADDRESS_PATTERN, MAX_FRAME_BYTES
 from marjoramvalve.retries import CrashedRun, ListedSuspect
 from marjoramvalve.wire.messages import (
     AppendEntries,
@@ -20,6 +23,16 @@
 MIN_COMPRESSED_BYTES = 1_024  # Compressing smaller messages saves little.
 # The fastest level already reduces a roster to a third, since names and addresses are similar.
 COMPRESSION_LEVEL = 1
+MAX_AMOUNT = 1e9  # Of calls, slots and seconds in one message.
+MAX_NAME_LENGTH = 256
+
+Address = Annotated[str, msgspec.Meta(pattern=rf"\A{ADDRESS_PATTERN}\Z")]
+Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
+Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=int(MAX_AMOUNT))]
+Ordinal = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
+
+log = structlog.get_logger("frames")
 
 
 class FrameKind(IntEnum):
@@ -50,12 +63,12 @@
     `wants_roster` tells whether the node wants roster updates on this link.
     """
 
-    name: str
-    domain: str
-    address: str
-    service: str
-    incarnation: int
-    version: int
+    name: Name
+    domain: Name
+    address: Address
+    service: Name
+    incarnation: Ordinal
+    version: Ordinal
     stamp: float
     leaving: bool = False
     load: "NodeLoad | None" = None
@@ -65,7 +78,7 @@
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
     """Replaces a full report after the first on a link; holds only the fields that change."""
 
-    version: int
+    version: Ordinal
     stamp: float
     load: "NodeLoad | None" = None
 
@@ -73,9 +86,9 @@
 class RouteRuns(msgspec.Struct, frozen=True, array_like=True):
     """Successful runs of one route: count, slot-seconds, and sub-calls by callee route."""
 
-    count: int
-    slot_seconds: float
-    calls: dict[str, int]
+    count: Count
+    slot_seconds: Amount
+    calls: dict[str, Count]
 
 
 class NodeLoad(msgspec.Struct, frozen=True, array_like=True):
@@ -87,11 +100,11 @@
     accepts, None if it has named no limit.
     """
 
-    offered: dict[str, float]
+    offered: dict[str, Amount]
     runs: dict[str, RouteRuns]
-    slots: int
-    waiting: int
-    rate_per_s: float | None = None
+    slots: Count
+    waiting: Count
+    rate_per_s: Amount | None = None
 
 
 class Status(msgspec.Struct, frozen=True, array_like=True):
@@ -165,9 +178,9 @@
     `hold_s` the initial duration for which suspected requests are quarantined.
     """
 
-    sequence: int
-    ago_s: float
-    hold_s: float
+    sequence: Ordinal
+    ago_s: Amount
+    hold_s: Amount
     runs: tuple[CrashedRun, ...]
 
 
@@ -204,10 +217,10 @@
     Holds its name in the group, its addresses for links and for operators, and its failure domain.
     """
 
-    name: str
-    address: str
-    control_address: str
-    domain: str = ""
+    name: Name
+    address: Address
+    control_address: Address
+    domain: Name = ""
 
 
 ConsensusBody = (
@@ -265,7 +278,17 @@
         return None
     try:
         if kind == FrameKind.PACKED_ROSTER:
-            payload = zlib.decompress(payload)
+            payload = _decompress(payload)
         return decoder.decode(payload)
-    except (msgspec.DecodeError, zlib.error):
+    except (msgspec.DecodeError, zlib.error, RecursionError) as exc:
+        log.warning("frame.invalid", kind=kind, bytes=len(payload), error=str(exc)[:200])
         return None
+
+
+def _decompress(payload: bytes) -> bytes:
+    """Decompresses a payload. Raises zlib.error, also if the result exceeds the size of a frame."""
+    decompressor = zlib.decompressobj()
+    data = decompressor.decompress(payload, MAX_FRAME_BYTES)
+    if not decompressor.eof:
+        raise zlib.error("payload is cut short or too large")
+    return data
--- a/src/marjoramvalve/links/frames.py
+++ b/src/marjoramvalve/links/frames.py
@@ -9,6 +9,9 @@
 import struct
 from typing import Protocol
 
+import msgspec
+import structlog
+
 HEADER = struct.Struct("<IB")
 MAX_FRAME_BYTES = 96 << 20  # Fits a body at the largest configurable limit, with its head.
 MAX_UNSENT_BYTES = 32 << 20  # The connection to a peer that falls further behind is aborted.
@@ -29,14 +32,18 @@
         """Called when the stream was closed by either side."""
 
 
-ADDRESS_PATTERN = re.compile(r"[A-Za-z0-9.-]{1,253}:(?P<port>[0-9]{1,5})")
-MAX_PORT = 65_535
+# `host:port`, with a port from 1 to 65,535.
+ADDRESS_PATTERN = (
+    r"[A-Za-z0-9.-]{1,253}:"
+    r"(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}|[1-5][0-9]{4}|[1-9][0-9]{0,3})"
+)
+
+log = structlog.get_logger("frames")
 
 
 def is_address(address: str) -> bool:
     """Returns whether this is a host and a port that can be connected to, as `host:port`."""
-    match = ADDRESS_PATTERN.fullmatch(address)
-    return match is not None and 1 <= int(match["port"]) <= MAX_PORT
+    return re.fullmatch(ADDRESS_PATTERN, address) is not None
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -81,7 +88,7 @@
     def data_received(self, data: bytes) -> None:
         """Passes complete frames to the owner and buffers the rest.
 
-        A frame above the size limit aborts the connection.
+        A frame above the size limit, or one that the owner can't decode, aborts the connection.
         """
         self.last_received_at = self._loop.time()
         self._chunks.append(data)
@@ -100,7 +107,11 @@
             if end > size:
                 self._needed_bytes = HEADER.size + length
                 break
-            self._owner.stream_frame(self, kind, data[offset + HEADER.size : end])
+            try:
+                self._owner.stream_frame(self, kind, data[offset + HEADER.size : end])
+            except (struct.error, msgspec.DecodeError, RecursionError) as exc:
+                log.warning("frame.invalid", kind=kind, bytes=length, error=str(exc)[:200])
+                self.abort()
             if not self.is_open:
                 return
             offset = end
--- a/src/marjoramvalve/mesh/frames.py
+++ b/src/marjoramvalve/mesh/frames.py
@@ -39,6 +39,9 @@
     QUARANTINED = 11
 
 
+ERROR_CODES = frozenset(ErrorCode)
+
+
 class UpstreamNotice(msgspec.Struct, frozen=True, array_like=True):
     """What one run of an upstream has announced in its responses.
 
--- a/src/marjoramvalve/mesh/ingress.py
+++ b/src/marjoramvalve/mesh/ingress.py
@@ -304,7 +304,7 @@
         return stats
 
     def _record_run(self, job: Job, service_s: float) -> None:
-        stats = self._run_stats.setdefault(job.route.decode(), RunStats())
+        stats = self._run_stats.setdefault(job.route.decode(errors="replace"), RunStats())
         stats.count += 1
         stats.slot_seconds += service_s
         for route, count in job.calls.items():
--- a/src/marjoramvalve/mesh/peers.py
+++ b/src/marjoramvalve/mesh/peers.py
@@ -15,6 +15,7 @@
     CALL_ID,
     CANCEL,
     ERROR,
+    ERROR_CODES,
     IS_HEAD,
     IS_RETRY,
     IS_SUB_CALL,
@@ -340,10 +341,13 @@
         self.stats.record_load(running, waiting, self._loop.time())
         if call is None:
             return
+        is_known = code in ERROR_CODES
         if kind == FrameType.REFUSED:
-            self._callbacks.call_refused(self, call, ErrorCode(code), after_ms / 1000)
+            reason = ErrorCode(code) if is_known else ErrorCode.NOT_READY
+            self._callbacks.call_refused(self, call, reason, after_ms / 1000)
         else:
-            self._callbacks.call_failed(self, call, ErrorCode(code))
+            reason = ErrorCode(code) if is_known else ErrorCode.BROKEN
+            self._callbacks.call_failed(self, call, reason)
 
     def check_liveness(self, now: float, on_unresponsive: Callable[["RemotePeer"], None]) -> None:
         """Pings a link that is silent while calls are active, and aborts it after a timeout.
--- a/src/marjoramvalve/mesh/sessions.py
+++ b/src/marjoramvalve/mesh/sessions.py
@@ -269,6 +269,10 @@
         offset += route_len
         attempt = payload[offset : offset + attempt_len]
         offset += attempt_len
+        if offset + head_len > len(payload):
+            log.warning("request.cut_short", peer=session.name, bytes=len(payload))
+            session.stream.abort()
+            return
         now = self.loop.time()
         job = Job(
             session,
--- /dev/null
+++ b/tests/test_odd_frames.py
@@ -0,0 +1,277 @@
+"""Frames between processes that hold nothing sound: they are dropped and change nothing."""
+
+import asyncio
+import random
+import struct
+import tempfile
+import unittest
+import zlib
+from pathlib import Path
+
+import msgspec
+
+from benches.fleets import free_address
+from marjoramvalve.fleet import (
+    Controller,
+    ControllerOptions,
+    ControlPlaneClient,
+    ControlPlaneClientOptions,
+)
+from marjoramvalve.fleet.messages import (
+    ControllerHello,
+    FrameKind,
+    NodeLoad,
+    Report,
+    Roster,
+    RosterEntry,
+    RouteRuns,
+    UpstreamEnded,
+    decode,
+    encode,
+)
+from marjoramvalve.links import MAX_FRAME_BYTES, Listener, connect_stream, is_address
+from marjoramvalve.links.frames import HEADER
+from marjoramvalve.mesh.frames import ERROR, ErrorCode, FrameType, Hello
+from marjoramvalve.telemetry import set_up_logs
+from tests.meshes import respond_immediately
+from tests.test_mesh import MeshTestCase
+
+NESTED = b"\x91" * 100_000
+NAN, INFINITE = float("nan"), float("inf")
+ADDRESS = "127.0.0.1:7000"
+ODD_ADDRESSES = (
+    "",
+    "a",
+    ":1",
+    "a:",
+    "a:0",
+    "a:65536",
+    "a:99999999",
+    "a:-1",
+    "a:1\n",
+    "a b:1",
+    "\xe9:1",
+)
+
+
+def report(**changes):
+    return msgspec.structs.replace(Report("n", "d", ADDRESS, "s", 1, 1, 0.0), **changes)
+
+
+def load(**changes):
+    sound = NodeLoad({"r": 1.0}, {"r": RouteRuns(1, 0.1, {"q": 2})}, 4, 0)
+    return report(load=msgspec.structs.replace(sound, **changes))
+
+
+class AddressTests(unittest.TestCase):
+    """Texts that are addresses, and others."""
+
+    def test_hosts_with_ports_are_addresses(self):
+        for text in (ADDRESS, "node-1.example:1", "10.0.0.1:65535"):
+            self.assertTrue(is_address(text), text)
+
+    def test_other_texts_are_not(self):
+        for text in ODD_ADDRESSES:
+            self.assertFalse(is_address(text), text)
+
+    def test_connecting_to_an_odd_address_fails_like_any_other_connection(self):
+        async def connect(text):
+            await connect_stream(text, None)
+
+        for text in ODD_ADDRESSES:
+            with self.subTest(text), self.assertRaises(OSError):
+                asyncio.run(connect(text))
+
+
+class DecodeTests(unittest.TestCase):
+    """Messages with values that no sender means."""
+
+    def setUp(self):
+        set_up_logs("critical", "test")
+
+    def test_sound_messages_are_decoded(self):
+        for kind, message in (
+            (FrameKind.REPORT, load()),
+            (FrameKind.CONTROLLER_HELLO, ControllerHello("c", ADDRESS, ADDRESS, "d")),
+            (FrameKind.UPSTREAM_ENDED, UpstreamEnded(1, 0.5, 60.0, ())),
+        ):
+            self.assertEqual(decode(kind, encode(message)), message)
+
+    def test_odd_messages_are_dropped(self):
+        messages = [(FrameKind.REPORT, report(address=text)) for text in ODD_ADDRESSES]
+        messages += [
+            (FrameKind.CONTROLLER_HELLO, ControllerHello("c", *addresses))
+            for text in ODD_ADDRESSES
+            for addresses in ((text, ADDRESS), (ADDRESS, text))
+        ]
+        for number in (-1.0, 1e300, INFINITE, NAN):
+            runs = {"r": RouteRuns(1, number, {})}
+            messages += [
+                (FrameKind.REPORT, load(offered={"r": number})),
+                (FrameKind.REPORT, load(runs=runs)),
+                (FrameKind.REPORT, load(rate_per_s=number)),
+                (FrameKind.UPSTREAM_ENDED, UpstreamEnded(1, number, 60.0, ())),
+                (FrameKind.UPSTREAM_ENDED, UpstreamEnded(1, 0.0, number, ())),
+            ]
+        for number in (-1, (1 << 64) - 1):
+            messages += [
+                (FrameKind.REPORT, report(incarnation=number)),
+                (FrameKind.REPORT, report(version=number)),
+                (FrameKind.REPORT, load(slots=number)),
+                (FrameKind.REPORT, load(waiting=number)),
+            ]
+        messages.append((FrameKind.REPORT, report(name="x" * 257)))
+        for kind, message in messages:
+            with self.subTest(message):
+                self.assertIsNone(decode(kind, encode(message)))
+
+    def test_deep_nesting_and_bombs_are_dropped(self):
+        deep = b"\x9b" + encode(report())[1:] + NESTED
+        bomb = zlib.compress(bytes(MAX_FRAME_BYTES + 1))
+        for kind, payload in (
+            (FrameKind.REPORT, deep),
+            (FrameKind.REPORT, NESTED),
+            (FrameKind.PACKED_ROSTER, bomb),
+            (FrameKind.PACKED_ROSTER, zlib.compress(encode(Roster(True, ())))[:-3]),
+        ):
+            self.assertIsNone(decode(kind, payload))
+
+
+class ControllerTests(unittest.TestCase):
+    """A controller whose list of nodes gets odd entries."""
+
+    def test_odd_report_reaches_no_node(self):
+        set_up_logs("critical", "test")
+
+        async def play(folder):
+            address = free_address()
+            options = ControllerOptions("d", address, address, ADDRESS, folder, (address,), True)
+            controller = Controller(options, asyncio.get_running_loop().time, random.Random(1))
+            await controller.start()
+            stream = await connect_stream(address, _Ignore())
+            for text in ODD_ADDRESSES:
+                stream.send(FrameKind.REPORT, encode(report(address=text)))
+                stream.send(FrameKind.CONTROLLER_HELLO, encode(ControllerHello("c", text, text)))
+            stream.send(FrameKind.REPORT, NESTED)
+            stream.send(FrameKind.REPORT, encode(report()))
+            while not controller._roster.entries():
+                await asyncio.sleep(0.01)
+            entries, peers = controller._roster.entries(), dict(controller._peers)
+            stream.abort()
+            await controller.close()
+            return [entry.address for entry in entries], peers
+
+        with tempfile.TemporaryDirectory() as folder:
+            self.assertEqual(asyncio.run(play(Path(folder))), ([ADDRESS], {}))
+
+
+class _Ignore:
+    """The owner of a stream that does nothing."""
+
+    def stream_opened(self, stream):
+        pass
+
+    def stream_frame(self, stream, kind, payload):
+        pass
+
+    def stream_closed(self, stream):
+        pass
+
+
+class RosterTests(unittest.TestCase):
+    """A node that reads a list of nodes with odd entries."""
+
+    def test_node_follows_the_sound_entries(self):
+        async def play():
+            options = ControlPlaneClientOptions("n", "d", "s", free_address(), 1, (), 1.0)
+            peers = []
+            client = ControlPlaneClient(
+                options,
+                asyncio.get_running_loop().time,
+                lambda version, document: None,
+                lambda roster: peers.append(sorted(roster)),
+            )
+            address = free_address()
+            link = type("Link", (), {"address": address, "is_open": True})()
+            client._links[address] = link
+            for number, text in enumerate(ODD_ADDRESSES):
+                odd = RosterEntry("odd", "d", text, "s", (1 << 64) - 1)
+                sound = RosterEntry(f"n-{number}", "d", f"127.0.0.1:{7000 + number}", "s", 1)
+                frame = encode(Roster(False, (odd, sound)))
+                client._on_link_frame(link, FrameKind.ROSTER, frame)
+            return peers[-1]
+
+        expected = [f"127.0.0.1:{7000 + number}" for number in range(len(ODD_ADDRESSES))]
+        self.assertEqual(asyncio.run(play()), sorted(expected))
+
+
+class MeshFrameTests(MeshTestCase):
+    """Odd frames at the links between nodes."""
+
+    def test_odd_frame_closes_only_its_own_stream(self):
+        frames = (
+            (FrameType.HELLO, NESTED),
+            (FrameType.HELLO, b"\xc1"),
+            (FrameType.HELLO, msgspec.msgpack.encode(["x", 1, None])),
+            (FrameType.REQUEST, b"x"),
+            (FrameType.REQUEST, struct.pack("<QIIIBBBHI", 1, 9000, 9000, 0, 1, 0, 4, 2, 999)),
+            (FrameType.CANCEL, b"x"),
+            (FrameType.RESUME, b"x"),
+        )
+
+        async def play():
+            caller = await self.connect_pair(respond_immediately)
+            address = self.bench.nodes[1].options.link_address
+            statuses = []
+            for number, (kind, payload) in enumerate(frames):
+                host, _, port = address.rpartition(":")
+                reader, writer = await asyncio.open_connection(host, int(port))
+                hello = msgspec.msgpack.encode(Hello(70 + number, "odd", "d"))
+                for frame in ((FrameType.HELLO, hello), (kind, payload)):
+                    writer.write(HEADER.pack(len(frame[1]), frame[0]) + frame[1])
+                while await reader.read(65536):
+                    pass
+                writer.close()
+                statuses.append((await caller.request("/order/", f"a{number}"))[0])
+            return statuses
+
+        self.assertEqual(self.bench.run(play()), [200] * len(frames))
+        self.assertEqual(len(self.received_requests), len(frames))
+
+    def test_call_is_answered_when_its_error_code_is_unknown(self):
+        async def play(kind):
+            caller = await self.connect_pair(respond_immediately)
+            (peer,) = self.bench.nodes[0].egress.peers.remote.values()
+            peer._stream.send = lambda *frame: None
+            caller.send("/order/", "a1")
+            while not peer.calls:
+                await asyncio.sleep(0.005)
+            peer.stream_frame(peer._stream, kind, ERROR.pack(*peer.calls, 200, 0, 0, 0))
+            return (await caller.read_response())[0]
+
+        self.assertNotIn(200, [code.value for code in ErrorCode])
+        self.assertEqual(self.bench.run(play(FrameType.REFUSED)), 503)
+
+
+class LinkTests(unittest.TestCase):
+    """A listener that is sent something else than frames."""
+
+    def test_other_protocols_do_not_disturb_the_listener(self):
+        async def play():
+            listener, address = Listener(_Ignore()), free_address()
+            await listener.start(address)
+            host, _, port = address.rpartition(":")
+            for data in (b"GET / HTTP/1.1\r\n\r\n", b"\xff" * 64):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(data)
+                writer.write_eof()
+                with self.subTest(data):
+                    self.assertEqual(await reader.read(), b"")
+                writer.close()
+            stream = await connect_stream(address, _Ignore())
+            is_open = stream.is_open
+            stream.abort()
+            await listener.close()
+            return is_open
+
+        self.assertTrue(asyncio.run(play()))
