--- a/src/marjoramvalve/model/documents.py
+++ b/src/marjoramvalve/model/documents.py
@@ -20,6 +20,8 @@
 MAX_RANK = 1000
 MAX_WEIGHT = 1e9
 OBJECTIVE_ABOVE_DEADLINE_LIMIT_MS = 60_000
+MAX_CONNECTIONS = 1_000_000
+MAX_CALLER_LIMIT = 1 << 40  # Of sizes in bytes and times in milliseconds.
 
 
 class Customer(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -182,6 +184,8 @@
     faults = _range_faults(f"{path}/rate", customer.rate, 0.01, MAX_RATE)
     faults += _range_faults(f"{path}/burst", customer.burst, 1, MAX_RATE)
     faults += _range_faults(f"{path}/weight", customer.weight, 0.01, 1000)
+    if customer.rank is not None:
+        faults += _range_faults(f"{path}/rank", customer.rank, 0, MAX_RANK)
     if customer.max_priority not in PRIORITIES:
         message = "priority is not one of " + ", ".join(PRIORITIES)
         faults.append(Fault("model.E006", f"{path}/max_priority", customer.max_priority, message))
@@ -247,6 +251,17 @@
     return faults
 
 
+def _limit_faults(doc: Document) -> list[Fault]:
+    faults = []
+    for name, service in doc.services.items():
+        path = f"/services/{name}/connections"
+        faults += _range_faults(path, service.connections, 1, MAX_CONNECTIONS)
+    for field in CallerLimits.__struct_fields__:
+        value = getattr(doc.callers, field)
+        faults += _range_faults(f"/callers/{field}", value, 1, MAX_CALLER_LIMIT)
+    return faults
+
+
 def _policy_faults(policy: Policy) -> list[Fault]:
     faults = _range_faults("/policy/chain_retries", policy.chain_retries, 0, MAX_RETRIES)
     faults += _range_faults("/policy/retry_ratio", policy.retry_ratio, 0, 1)
@@ -270,7 +285,7 @@
     for name, route in doc.routes.items():
         faults += _route_faults(name, route)
     faults += _duplicate_route_faults(doc.routes) + _missing_service_faults(doc)
-    faults += _policy_faults(doc.policy)
+    faults += _policy_faults(doc.policy) + _limit_faults(doc)
     if faults:
         return Err(tuple(faults))
     return Ok(doc)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -97,6 +97,32 @@
             with self.subTest(name):
                 self.assertIsInstance(parse_config(raw, 5), Err)
 
+    def test_odd_configurations_are_rejected(self):
+        huge = 10**30
+        tenant = {"name": "t1", "apiKeys": ["k1"]}
+        odd = {
+            "nested": config()[:-1] + b',"x":' + b"[" * 100_000 + b"]" * 100_000 + b"}",
+            "only brackets": b"[" * 100_000,
+            "not UTF-8": config().replace(b"r-1", b"\xff"),
+            "negative version": config("-0000001"),
+            "long version": config("f" * 16),
+            "version with a space": config(" 000000c"),
+            "rank": config(tenants=[{**tenant, "priority": -1}]),
+            "huge rank": config(tenants=[{**tenant, "priority": huge}]),
+            "rate": config(tenants=[{**tenant, "ratePerS": huge}]),
+            "route's rank": config(path={"priority": -1}),
+            "attempts": config(path={"attempts": huge}),
+            "time-out": config(path={"timeoutMs": 1e300}),
+            "weight": config(path={"split": [{"service": "s1", "weight": 1e308}]}),
+            "connections": config(services=[{"name": "s1", "maxConns": 0}, {"name": "s2"}]),
+            "many connections": config(services=[{"name": "s1", "maxConns": huge}, {"name": "s2"}]),
+            "limit": config(limits={"maxHeaderBytes": -1}),
+            "huge limit": config(limits={"idleTimeoutMs": huge}),
+        }
+        for name, raw in odd.items():
+            with self.subTest(name):
+                self.assertIsInstance(parse_config(raw, 5), Err)
+
     def test_unknown_fields_are_ignored(self):
         self.assertIsInstance(parse_config(config(future={"a": 1}, path={"x": 2}), 5), Ok)
 
@@ -200,6 +226,8 @@
     def test_invalid_settings_are_rejected(self):
         self.assertIsInstance(self.load(b"{"), Fault)
         self.assertIsInstance(self.load(b'{"nodeName": 3}'), Fault)
+        self.assertIsInstance(self.load(b'{"nodeName": "\xff"}'), Fault)
+        self.assertIsInstance(self.load(b'{"x":' + b"[" * 100_000), Fault)
 
     def test_controllers_use_first_internal_port(self):
         settings = self.load(json.dumps(settings_file("core", 1, "/data")).encode())
