Send no attempt over a connection on which it was refused

Refusals of other requests were told apart by their ID before; within one ID nothing does. A connection now remembers what was refused on it and is closed rather than used for that again.

Evidence: test_refusal_of_an_attempt_does_not_answer_its_next_run of tests.test_stray_responses fails on the parent and passes now. The other tests there show the reported case, which passes on the parent as well.

--- a/src/marjoramvalve/h1/upstreams.py
+++ b/src/marjoramvalve/h1/upstreams.py
@@ -22,6 +22,8 @@
 MAX_NON_BODY_BYTES = 256 << 10  # Heads, interim responses, chunk sizes and trailers.
 MAX_CHUNK_OVERHEAD = 8  # Framing bytes per body byte; enough for chunks of one byte.
 MAX_BUFFERED_BYTES = 96 << 20  # Bodies of all responses in progress, over all connections.
+MAX_REFUSED = 256  # Refused requests after which a connection is no longer used.
+MISDIRECTED = 421
 
 FORWARDED_FIELDS = frozenset({"attempt", "rate_limit", "leaving"})  # Read, and passed on as well.
 
@@ -98,6 +100,7 @@
         self.idle_until = 0.0
         self.idle_since = 0.0
         self.buffered_bytes = 0  # Of the response body.
+        self._refused: set[bytes] = set()
         # Bytes received since the request was sent, and how many of them were body bytes.
         self._received_bytes = 0
         self._received_body_bytes = 0
@@ -122,6 +125,13 @@
         """Whether the connection can be used."""
         return self._transport is not None and not self._transport.is_closing()
 
+    def may_carry(self, exchange: Exchange) -> bool:
+        """Returns whether only this run of a request can be answered on the connection.
+
+        An upstream may write an earlier refusal of the same request once more.
+        """
+        return exchange.attempt not in self._refused
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport."""
         self._transport = transport
@@ -280,9 +290,13 @@
             self._fail("response belongs to another request")
             return
         self.exchange = None
+        status = self._parser.get_status_code()
+        if self._not_run or status == MISDIRECTED:
+            self._refused.add(exchange.attempt)
+            self._should_close = self._should_close or len(self._refused) >= MAX_REFUSED
         body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
         response = UpstreamResponse(
-            self._parser.get_status_code(),
+            status,
             b"".join(self._header_lines),
             body,
             self._not_run,
@@ -358,6 +372,9 @@
             if not exchange.repeatable and now > conn.idle_since + REUSE_WINDOW_S:
                 self._idle.append(conn)
                 break
+            if not conn.may_carry(exchange):
+                conn.abort()
+                continue
             conn.send(exchange)
             return
         if len(self._connections) >= self.max_connections and self._idle:
