Drop the trailers of responses

A trailer could say of a request that had run that it had not, so that it was refused or sent to a second upstream, and could give the response to another request the ID of this one: fields behind the body were read like headers.

RFC 9110 lets a recipient discard trailers, and no header read here may be given as one.

Evidence: the three tests of tests.test_stray_responses.TrailerTests fail on the parent and pass now.

--- a/src/marjoramvalve/h1/upstreams.py
+++ b/src/marjoramvalve/h1/upstreams.py
@@ -218,7 +218,9 @@
             self._reset_response()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Interprets, forwards or drops a header."""
+        """Interprets, forwards or drops a header; trailers are dropped."""
+        if self._has_head:
+            return
         lower = name.lower()
         field = self._pool.fields_by_header.get(lower)
         if field is not None:
--- a/tests/test_stray_responses.py
+++ b/tests/test_stray_responses.py
@@ -149,3 +149,33 @@
 
         self.check(*self.bench.run(play()))
         self.assertEqual(self.bench.upstreams[2].requests, [])
+
+
+class TrailerTests(MeshTestCase):
+    """Fields behind the body of a response, which say nothing about it as a whole."""
+
+    def request(self, head_id, trailer):
+        async def respond(request, writer):
+            head = (
+                f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {head_id}\r\nTransfer-Encoding: chunked\r\n\r\n"
+            )
+            writer.write(f"{head}4\r\nbody\r\n0\r\n{trailer}\r\n".encode())
+
+        async def play():
+            caller = await self.connect_pair(respond)
+            status, head, _ = await caller.request("/order/", "a1", method="POST")
+            return status, head
+
+        return self.bench.run(play())
+
+    def test_trailer_does_not_say_that_a_request_has_not_run(self):
+        status, _ = self.request("a1", NOT_RUN)
+        self.assertEqual(status, 200)
+
+    def test_trailer_does_not_identify_a_response(self):
+        status, _ = self.request("a0", f"{REQUEST_ID}: a1\r\n")
+        self.assertEqual(status, 504)
+
+    def test_trailer_does_not_become_a_header(self):
+        status, head = self.request("a1", "X-Behind: 1\r\n")
+        self.assertEqual((status, header_value(head, "X-Behind")), (200, None))
