Serve sub-calls of the own upstream while a node drains

Requests that an upstream was running for callers of other nodes failed in a planned stop of its node: from the end of the lame duck phase on, the listener was closed, and idle connections too, so that the next sub-call found no node.

Connections that have carried sub-calls now stay open, and new ones from the node's own address are accepted, until the upstream runs no request any more. Anything but a sub-call is refused there with 503 and "Connection: close".

Evidence: the two tests of sub-calls in test_mesh.DrainingUpstreamTests fail on the parent (connection refused) and pass now.

--- a/src/marjoramvalve/h1/callers.py
+++ b/src/marjoramvalve/h1/callers.py
@@ -121,6 +121,8 @@
         self._closing = False  # No more requests are read.
         self._lingers_until: float | None = None
         self.is_local = False
+        self.is_late = False  # Opened after the server had stopped accepting others.
+        self.serves_upstream = False  # Carries the calls of the upstream beside the node.
         self.last_active_at = self._loop.time()
         self.request_started_at = 0.0
 
@@ -131,7 +133,10 @@
         self._transport = transport
         peer, own = transport.get_extra_info("peername"), transport.get_extra_info("sockname")
         self.is_local = bool(peer and own) and peer[0] == own[0]
+        self.is_late = self._server.accepts_only_local
         self._server.connections.add(self)
+        if self.is_late and not self.is_local:
+            transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Notifies the pending requests that their caller has disconnected."""
@@ -408,6 +413,7 @@
         self.on_request_error = on_request_error
         self.limits = CallerLimits()
         self.connections: set[CallerConnection] = set()
+        self.accepts_only_local = False
         lowered = names.lowered()
         self.fields_by_header = {lowered[field]: field for field in ("attempt", "deadline", "key")}
         self.fields_by_header |= {b"host": "host", b"connection": "connection", b"expect": "expect"}
@@ -434,15 +440,23 @@
         """Creates the protocol of a new connection."""
         return CallerConnection(self)
 
+    def accept_only_local(self) -> None:
+        """Closes new connections, except those from the node's own IP address."""
+        self.accepts_only_local = True
+
     def stop_listening(self) -> None:
         """Stops accepting connections; the open ones stay."""
         if self._server is not None:
             self._server.close()
 
-    def close_after_pending(self) -> None:
-        """Closes idle connections now and the others after their pending responses."""
+    def close_after_pending(self, keep_upstream: bool = False) -> None:
+        """Closes idle connections now and the others after their pending responses.
+
+        With `keep_upstream`, those that the upstream beside the node may use stay.
+        """
         for conn in list(self.connections):
-            conn.close_after_pending()
+            if not (keep_upstream and (conn.serves_upstream or conn.is_late)):
+                conn.close_after_pending()
 
     def is_busy(self) -> bool:
         """Returns whether closing now would lose a caller's request or response."""
--- a/src/marjoramvalve/mesh/egress.py
+++ b/src/marjoramvalve/mesh/egress.py
@@ -149,8 +149,9 @@
         request, target = call.request, call.target
         call.rank = combine_ranks(target.rank, target.rank)
         if request.key is None:
-            parent = self._find_parent(request)
+            parent = self.find_parent(request)
             if parent is not None:
+                request.conn.serves_upstream = True
                 call.is_sub_call = True
                 call.rank = parent.rank & ~ROOT_CALL_BIT
                 call.root_received_at = parent.root_received_at
@@ -179,7 +180,7 @@
             call.rank = combine_ranks(rank, target.rank)
         return True
 
-    def _find_parent(self, request: IncomingRequest) -> Job | None:
+    def find_parent(self, request: IncomingRequest) -> Job | None:
         """Returns the running job that a sub-call belongs to, according to its request ID.
 
         Only connections from the local upstream are trusted: from anywhere else, such an ID would
--- a/src/marjoramvalve/mesh/nodes.py
+++ b/src/marjoramvalve/mesh/nodes.py
@@ -7,20 +7,23 @@
 
 import structlog
 
-from marjoramvalve.h1 import CallerServer, HeaderNames
+from marjoramvalve.h1 import CallerServer, HeaderNames, IncomingRequest
 from marjoramvalve.links import Listener
 from marjoramvalve.mesh.announcements import UpstreamAnnouncements
 from marjoramvalve.mesh.egress import Egress
 from marjoramvalve.mesh.frames import Hello
 from marjoramvalve.mesh.ingress import Ingress
 from marjoramvalve.mesh.limiters import CustomerRateLimiter, OrderKeeper, RootCallAdmission
+from marjoramvalve.mesh.local_responses import LocalResponder
 from marjoramvalve.mesh.quarantines import Quarantine
 from marjoramvalve.mesh.routes import RouteTable
 from marjoramvalve.mesh.sessions import IngressServer
 from marjoramvalve.mesh.timers import DeadlineScheduler
 from marjoramvalve.model import Document
+from marjoramvalve.outcomes import Reason
 
 DRAIN_POLL_INTERVAL_S = 0.05  # How often a draining node checks for active calls.
+STOPPING_RETRY_AFTER_S = 0.1  # Another node of the service can be tried immediately.
 
 log = structlog.get_logger("node")
 
@@ -85,10 +88,19 @@
         )
         self.sessions = IngressServer(self.ingress, options.service, self.incarnation)
         self.ingress.on_change = self.sessions.broadcast_state
-        self.callers = CallerServer(options.names, self.egress.handle, self._on_malformed_request)
+        self.callers = CallerServer(options.names, self._handle, self._on_malformed_request)
+        self._responder = LocalResponder(self.egress.metrics, rng)
         self._listener = Listener(self.sessions)
         self.stopping = False
 
+    def _handle(self, request: IncomingRequest) -> None:
+        """Passes a request to the egress; during a drain, new connections are for sub-calls."""
+        if request.conn.is_late and self.egress.find_parent(request) is None:
+            request.should_close = True
+            self._responder.refuse(request, Reason.STOPPING, 503, STOPPING_RETRY_AFTER_S)
+        else:
+            self.egress.handle(request)
+
     def _on_malformed_request(self, status: int, detail: bytes) -> None:
         log.info("request.unread", status=status, detail=detail)
 
@@ -147,16 +159,20 @@
     async def drain(self, clock: Callable[[], float]) -> None:
         """Drains the node: serves as usual at first, then only finishes active calls.
 
-        Returns when no call is active, or after `drain_timeout_s`.
+        The upstream may make sub-calls as long as it runs requests. Returns when no call is active,
+        or after `drain_timeout_s`.
         """
         self.stopping = True
         started_at = clock()
         await asyncio.sleep(self.options.lame_duck_s)
         self.ingress.stop_accepting()
-        self.callers.stop_listening()
+        self.callers.accept_only_local()
         while clock() < started_at + self.options.drain_timeout_s:
-            self.callers.close_after_pending()
-            if not (self.egress.active_calls or self.ingress.running or self.callers.is_busy()):
+            is_upstream_running = bool(self.ingress.running)
+            self.callers.close_after_pending(keep_upstream=is_upstream_running)
+            if not is_upstream_running:
+                self.callers.stop_listening()
+            if not (is_upstream_running or self.egress.active_calls or self.callers.is_busy()):
                 break
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         log.info(
--- a/src/marjoramvalve/scenario/graphs.py
+++ b/src/marjoramvalve/scenario/graphs.py
@@ -52,6 +52,7 @@
     """Models the connection of an external caller or of the local upstream."""
 
     is_local = True
+    serves_upstream = False
 
     def __init__(self, on_response_received: Callable[[int, bytes], None]) -> None:
         self._on_response_received = on_response_received
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -581,6 +581,67 @@
         self.assertEqual(self.bench.run(scenario()), (200, size))
 
 
+class DrainingUpstreamTests(MeshTestCase):
+    """Draining of a node whose upstream runs requests for callers of other nodes."""
+
+    async def start_drain(self, node):
+        """Starts to drain a node and waits until it takes no further calls."""
+        stop = asyncio.ensure_future(node.drain(asyncio.get_running_loop().time))
+        while node.ingress.ready:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.1)
+        return stop
+
+    def check_sub_calls(self, connects_early):
+        """Returns the statuses of a request and of another one that comes during the drain.
+
+        The first one's upstream makes a sub-call after its node has begun to drain.
+        """
+        doc = make_document(order={"service": "leaf"})
+        draining = asyncio.Event()
+
+        async def make_sub_call(request, writer):
+            node = self.bench.nodes[1]
+            if connects_early:
+                caller = await self.bench.connect_caller(node)
+                await caller.request("/order/sub", "a1.x", key="")
+            await draining.wait()
+            if not connects_early:
+                caller = await self.bench.connect_caller(node)
+            status, _, _ = await caller.request("/order/sub", "a1.y", key="")
+            writer.write(ok_response(request, str(status).encode()))
+
+        async def scenario():
+            caller = await self.connect_pair(make_sub_call, doc=doc)
+            await self.bench.add_node(respond_immediately, "leaf", doc=doc)
+            await self.bench.connect_nodes()
+            caller.send("/read/", "a1")
+            while not self.received_requests:
+                await asyncio.sleep(0.005)
+            await asyncio.sleep(0.05)
+            stop = await self.start_drain(self.bench.nodes[1])
+            late = await self.bench.connect_caller(self.bench.nodes[1])
+            late_status, late_head, _ = await late.request("/order/", "b1")
+            self.assertEqual(header_value(late_head, "Connection"), "close")
+            with self.assertRaises((OSError, asyncio.IncompleteReadError)):
+                outside = await self.bench.connect_caller(self.bench.nodes[1], source="127.0.0.2")
+                await outside.request("/order/", "b2")
+            draining.set()
+            status, _, body = await caller.read_response()
+            await stop
+            with self.assertRaises(OSError):
+                await self.bench.connect_caller(self.bench.nodes[1])
+            return status, body, late_status
+
+        self.assertEqual(self.bench.run(scenario()), (200, b"200", 503))
+
+    def test_sub_call_on_a_new_connection_is_served(self):
+        self.check_sub_calls(connects_early=False)
+
+    def test_sub_call_on_a_kept_connection_is_served(self):
+        self.check_sub_calls(connects_early=True)
+
+
 class PipelinedDrainTests(MeshTestCase):
     """Draining of a node whose callers send requests ahead of the responses to earlier ones."""
 
