Let a drain wait until responses have reached the callers' nodes

A drain ended as soon as the upstream had responded. A response that was still in the buffer of a link was lost when the process ended, and its caller got 502.

A drain now asks the egresses that respond to acknowledge their outcomes, and waits for that within its time limit.

Evidence: test_response_on_its_way_to_the_callers_node_is_waited_for fails on the parent and passes now.

--- a/src/marjoramvalve/mesh/nodes.py
+++ b/src/marjoramvalve/mesh/nodes.py
@@ -159,8 +159,8 @@
     async def drain(self, clock: Callable[[], float]) -> None:
         """Drains the node: serves as usual at first, then only finishes active calls.
 
-        The upstream may make sub-calls as long as it runs requests. Returns when no call is active,
-        or after `drain_timeout_s`.
+        The upstream may make sub-calls as long as it runs requests. Returns when no call is active
+        and the egresses have received their outcomes, or after `drain_timeout_s`.
         """
         self.stopping = True
         started_at = clock()
@@ -172,7 +172,12 @@
             self.callers.close_after_pending(keep_upstream=is_upstream_running)
             if not is_upstream_running:
                 self.callers.stop_listening()
-            if not (is_upstream_running or self.egress.active_calls or self.callers.is_busy()):
+            if not (
+                is_upstream_running
+                or self.egress.active_calls
+                or self.callers.is_busy()
+                or self.sessions.has_unacknowledged()
+            ):
                 break
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         log.info(
--- a/src/marjoramvalve/mesh/sessions.py
+++ b/src/marjoramvalve/mesh/sessions.py
@@ -37,6 +37,7 @@
 
 DISCONNECTED_TTL_S = 12.0  # For a session without a stream, calls and outcomes.
 SWEEP_INTERVAL_S = 1.0
+SILENCE_S = 1.5  # An egress with calls in progress pings several times in this time.
 MAX_STORED_BYTES = 64 << 20  # Of all outcomes; the oldest of the largest session go first.
 
 log = structlog.get_logger("sessions")
@@ -162,6 +163,20 @@
             if session.stream is not None:
                 session.stream.close()
 
+    def has_unacknowledged(self) -> bool:
+        """Returns whether an egress that responds has not acknowledged all outcomes; asks it to."""
+        now = self.loop.time()
+        waiting = [
+            session
+            for session in self._sessions.values()
+            if session.stream is not None
+            and session.outcomes
+            and now < session.stream.last_received_at + SILENCE_S
+        ]
+        for session in waiting:
+            session.request_acknowledgement()
+        return bool(waiting)
+
     def _sweep_sessions(self) -> None:
         now = self.loop.time()
         for session_id, session in list(self._sessions.items()):
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -641,6 +641,33 @@
     def test_sub_call_on_a_kept_connection_is_served(self):
         self.check_sub_calls(connects_early=True)
 
+    def test_response_on_its_way_to_the_callers_node_is_waited_for(self):
+        size = 8 << 20
+        release = asyncio.Event()
+
+        async def large(request, writer):
+            await release.wait()
+            writer.write(ok_response(request, b"x" * size))
+
+        async def scenario():
+            caller = await self.connect_pair(large)
+            (peer,) = self.bench.nodes[0].egress.peers.remote.values()
+            caller.send("/read/", "a1")
+            while not self.received_requests:
+                await asyncio.sleep(0.005)
+            peer._stream._transport.pause_reading()
+            stop = await self.start_drain(self.bench.nodes[1])
+            release.set()
+            await asyncio.sleep(0.2)
+            is_waiting = not stop.done()
+            peer._stream._transport.resume_reading()
+            await stop
+            is_received = not peer.calls
+            _, _, body = await caller.read_response()
+            return is_waiting, is_received, len(body)
+
+        self.assertEqual(self.bench.run(scenario()), (True, True, size))
+
 
 class PipelinedDrainTests(MeshTestCase):
     """Draining of a node whose callers send requests ahead of the responses to earlier ones."""
