Stop reading from callers with too many requests in progress

Cause: the request above the limit was queued before the refusal, which did not recognise it any more and queued a second entry; the first one never got a response.

A connection at the limit is not parsed until half of its requests are answered, and not read once 64 KB are held. This serves callers better than a 503 that stands behind 64 responses. What all connections hold and have unsent is bounded. The server and the requests move to modules of their own.

--- a/src/marjoramvalve/h1/callers.py
+++ b/src/marjoramvalve/h1/callers.py
@@ -1,105 +1,39 @@
-"""HTTP/1.1 server for callers: buffers whole requests and responds in request order."""
+"""Connections of callers: whole requests are buffered and answered in request order."""
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
-from http import HTTPStatus
+from typing import TYPE_CHECKING
 
 import httptools
 import structlog
 
-from marjoramvalve.h1.headers import CONNECTION_HEADERS, HeaderNames
+from marjoramvalve.h1.headers import CONNECTION_HEADERS
+from marjoramvalve.h1.incoming import IncomingRequest
 from marjoramvalve.h1.redaction import remove_key, remove_key_from_query
-from marjoramvalve.links import split_address
 from marjoramvalve.model import CallerLimits
 
-BACKLOG = 1024
-TIMEOUT_CHECK_INTERVAL_S = 0.5  # Timeouts of callers may fire this much late.
 STALLED_REQUEST_S = 1.0  # A partial request without new data this long doesn't delay a shutdown.
-MAX_PIPELINED = 64  # Requests in progress on one connection.
+# A connection with this many requests in progress is read again once that has halved. One slice of
+# data is parsed at a time, so that the requests of a slice may come on top.
+MAX_PIPELINED = 64
+SLICE_BYTES = 8 << 10
+# Data received but not parsed. Above the first limit a connection isn't read, so that a disconnect
+# isn't noticed; above the second one, of all connections, no more requests are taken from it.
+MAX_HELD_BYTES = 64 << 10
+MAX_HELD_BYTES_IN_TOTAL = 32 << 20
 MAX_UNSENT_BYTES = 16 << 20  # Response bytes buffered for a slow caller before it is disconnected.
 # A caller with unsent responses is disconnected this long after the last request or response data.
 SEND_TIMEOUT_S = 20.0
 LINGER_S = 1.0  # How long a caller has to close a connection after the last response on it.
 MAX_CHUNK_OVERHEAD = 8  # Framing bytes per body byte; enough for chunks of one byte.
-NO_BODY_STATUSES = frozenset({204, 304})
-STATUS_LINES = {
-    status.value: b"HTTP/1.1 %d %s\r\n" % (status.value, status.phrase.encode())
-    for status in HTTPStatus
-}
+if TYPE_CHECKING:
+    from marjoramvalve.h1.servers import CallerServer
+
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 log = structlog.get_logger("callers")
 
 
-class IncomingRequest:
-    """A complete request and its response.
-
-    `head` holds the header lines to forward. `target` is the request target as received, except
-    that the query parameters that contain the caller's key are removed. `response` holds the head
-    of the response, without its end, and the body.
-    """
-
-    __slots__ = (
-        "attempt",
-        "body",
-        "conn",
-        "deadline_ms",
-        "head",
-        "host",
-        "key",
-        "method",
-        "on_disconnect",
-        "idempotency_key",
-        "response",
-        "received_at",
-        "should_close",
-        "target",
-    )
-
-    def __init__(self, conn: "CallerConnection", received_at: float) -> None:
-        self.conn = conn
-        self.received_at = received_at
-        self.method = b""
-        self.target = b""
-        self.host = b""
-        self.key: bytes | None = None
-        self.attempt = b""
-        self.deadline_ms: int | None = None
-        self.idempotency_key = b""
-        self.head = b""
-        self.body = b""
-        self.should_close = False
-        self.response: tuple[bytes, bytes] | None = None
-        self.on_disconnect: Callable[[], None] | None = None
-
-    def respond(self, status: int, head: bytes, body: bytes, close: bool = False) -> None:
-        """Sends the response. Calls after the first one do nothing.
-
-        `head` holds complete header lines; the framing headers are added here.
-        """
-        if self.response is not None:
-            return
-        self.on_disconnect = None
-        self.should_close = self.should_close or close
-        line = STATUS_LINES.get(status) or b"HTTP/1.1 %d Unknown\r\n" % status
-        if status in NO_BODY_STATUSES:
-            self.response = line + head, b""
-        else:
-            framed = line + head + b"Content-Length: %d\r\n" % len(body)
-            self.response = framed, b"" if self.method == b"HEAD" else body
-        self.conn.flush()
-
-    def take_response(self, closes: bool) -> bytes:
-        """Returns the encoded response and frees its memory: others may still hold the request.
-
-        `closes` tells whether the connection closes after it.
-        """
-        head, body = self.response
-        self.response = b"", b""
-        return b"".join((head, b"Connection: close\r\n\r\n" if closes else b"\r\n", body))
-
-
 class CallerConnection(asyncio.Protocol):
     """One connection from a caller."""
 
@@ -109,6 +43,10 @@
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._pending: deque[IncomingRequest] = deque()
+        self._held: deque[tuple[float, bytes]] = deque()  # Arrival time and data.
+        self._is_blocked = False  # No requests are parsed: too many are in progress.
+        self._is_write_blocked = False
+        self._is_paused = False
         self._request: IncomingRequest | None = None
         self._header_lines: list[bytes] = []
         self._body: list[bytes] = []
@@ -123,7 +61,7 @@
         self.is_local = False
         self.is_late = False  # Opened after the server had stopped accepting others.
         self.serves_upstream = False  # Carries the calls of the upstream beside the node.
-        self.last_active_at = self._loop.time()
+        self.last_active_at = self._arrived_at = self._loop.time()
         self.request_started_at = 0.0
 
     # Transport
@@ -142,6 +80,7 @@
         """Notifies the pending requests that their caller has disconnected."""
         self._transport = None
         self._server.connections.discard(self)
+        self._drop_held()
         self._notify_disconnected()
 
     def eof_received(self) -> bool:
@@ -157,10 +96,27 @@
                 on_disconnect()
 
     def data_received(self, data: bytes) -> None:
-        """Feeds the parser and enforces the size limits."""
+        """Parses data, or holds it back while too many requests are in progress."""
         if self._closing:
             return
         self.last_active_at = self._loop.time()
+        if self._is_blocked or self._held:
+            self._hold(self.last_active_at, data)
+        else:
+            self._parse_slices(self.last_active_at, data)
+
+    def _parse_slices(self, arrived_at: float, data: bytes) -> None:
+        self._arrived_at = arrived_at
+        for offset in range(0, len(data), SLICE_BYTES):
+            if self._closing:
+                return
+            if self._is_blocked:
+                self._hold(arrived_at, data[offset:])
+                return
+            self._parse(data if len(data) <= SLICE_BYTES else data[offset : offset + SLICE_BYTES])
+
+    def _parse(self, data: bytes) -> None:
+        """Feeds the parser and enforces the size limits."""
         previous_state = (self._request, self._in_head)
         try:
             self._parser.feed_data(data)
@@ -171,6 +127,56 @@
                 self._fail(400, str(exc).encode()[:100])
         if self._request is not None and (self._request, self._in_head) == previous_state:
             self._count_received_bytes(len(data))
+        self._is_blocked = self._is_write_blocked or len(self._pending) >= MAX_PIPELINED
+
+    # Back-pressure
+
+    def _hold(self, arrived_at: float, data: bytes) -> None:
+        self._held.append((arrived_at, data))
+        self._server.held_bytes += len(data)
+        if self._server.held_bytes > MAX_HELD_BYTES_IN_TOTAL:
+            self.close_after_pending()
+        elif sum(len(held) for _, held in self._held) > MAX_HELD_BYTES:
+            self._is_paused = True
+            self._transport.pause_reading()
+
+    def _drop_held(self) -> None:
+        self._server.held_bytes -= sum(len(data) for _, data in self._held)
+        self._held.clear()
+
+    def _unblock(self) -> None:
+        """Parses the data held back once there is room for more requests."""
+        while self._held and not self._is_blocked and not self._closing:
+            arrived_at, data = self._held.popleft()
+            self._server.held_bytes -= len(data)
+            later, self._held = self._held, deque()
+            self._parse_slices(arrived_at, data)
+            self._held += later
+        if not self._held:
+            self._resume_reading()
+
+    def _resume_reading(self) -> None:
+        if self._is_paused and self._transport is not None:
+            self._is_paused = False
+            self._transport.resume_reading()
+
+    def pause_writing(self) -> None:
+        """Parses no more requests while the caller does not read its responses."""
+        self._is_blocked = self._is_write_blocked = True
+
+    def resume_writing(self) -> None:
+        """Parses requests again once the caller has read its responses."""
+        self._is_write_blocked = False
+        self._check_room()
+
+    def _check_room(self) -> None:
+        if (
+            self._is_blocked
+            and not self._is_write_blocked
+            and len(self._pending) <= MAX_PIPELINED // 2
+        ):
+            self._is_blocked = False
+            self._loop.call_soon(self._unblock)
 
     def _count_received_bytes(self, size: int) -> None:
         """Limits the bytes that the parser buffers or skips without calling back."""
@@ -190,14 +196,14 @@
         """Starts a new request, unless the connection closes after an earlier one."""
         if self._closing:
             return
-        self._request = IncomingRequest(self, self.last_active_at)
+        self._request = IncomingRequest(self, self._arrived_at)
         self._header_lines = []
         self._body = []
         self._parsed_bytes = 0
         self._received_bytes = 0
         self._in_head = True
         self._connection_options = set()
-        self.request_started_at = self.last_active_at
+        self.request_started_at = self._arrived_at
 
     def on_url(self, url: bytes) -> None:
         """Appends a part of the request target."""
@@ -292,9 +298,6 @@
             self._fail(400, b"request has no Host header")
             return
         self._pending.append(request)
-        if len(self._pending) > MAX_PIPELINED:
-            self._fail(503, b"too many requests on one connection")
-            return
         self._closing = request is self._last_request
         self._handle(request)
 
@@ -330,6 +333,7 @@
             return
         self.last_active_at = self._loop.time()
         self._transport.write(out[0] if len(out) == 1 else b"".join(out))
+        self._check_room()
         if closes:
             self._closing = True
             self._notify_disconnected()
@@ -341,7 +345,9 @@
         Closing while the caller still sends would reset the connection, and the caller could lose a
         response that it has not read.
         """
+        self._drop_held()
         self._lingers_until = self._loop.time() + LINGER_S
+        self._resume_reading()
         if not self._transport.is_closing():
             self._transport.write_eof()
 
@@ -352,6 +358,9 @@
         """
         if self._closing or self._last_request is not None:
             return
+        if self._held:
+            self._drop_held()
+            self._request = None
         if self._request is not None:
             self._last_request = self._request
         elif self._pending:
@@ -369,18 +378,28 @@
             self._request is not None and now < self.last_active_at + STALLED_REQUEST_S
         ):
             return True
-        return self._transport is not None and self._transport.get_write_buffer_size() > 0
+        return self.unsent_bytes > 0
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Returns how many response bytes the caller has not taken yet."""
+        return self._transport.get_write_buffer_size() if self._transport is not None else 0
 
     def close(self) -> None:
         """Closes the connection after sending the data already written to it."""
         if self._transport is not None:
             self._transport.close()
 
+    def abort(self) -> None:
+        """Closes the connection at once and drops the data that is not sent yet."""
+        if self._transport is not None:
+            self._transport.abort()
+
     def check_timeouts(self, now: float, limits: CallerLimits) -> None:
         """Closes the connection if its caller is too slow or has been idle for too long."""
         if self._transport is None:
             return
-        unsent_bytes = self._transport.get_write_buffer_size()
+        unsent_bytes = self.unsent_bytes
         if unsent_bytes > MAX_UNSENT_BYTES or (
             unsent_bytes and now > self.last_active_at + SEND_TIMEOUT_S
         ):
@@ -388,85 +407,11 @@
         elif self._lingers_until is not None:
             if not unsent_bytes and now > self._lingers_until:
                 self._transport.abort()
+        elif self._held:
+            return  # The rest of the request in progress may have arrived.
         elif self._in_head and now > self.request_started_at + limits.header_ms / 1000:
             self._fail(408, b"request head did not come in time")
         elif self._request is not None and now > self.last_active_at + limits.idle_ms / 1000:
             self._fail(408, b"request body did not come in time")
         elif not self._pending and now > self.last_active_at + limits.idle_ms / 1000:
             self.close_after_pending()
-
-
-class CallerServer:
-    """Listens for callers and passes their requests to `handler`.
-
-    `on_request_error` gets the status and the detail of each request that is rejected here.
-    """
-
-    def __init__(
-        self,
-        names: HeaderNames,
-        handler: Callable[[IncomingRequest], None],
-        on_request_error: Callable[[int, bytes], None],
-    ) -> None:
-        self.loop = asyncio.get_running_loop()
-        self.handler = handler
-        self.on_request_error = on_request_error
-        self.limits = CallerLimits()
-        self.connections: set[CallerConnection] = set()
-        self.accepts_only_local = False
-        lowered = names.lowered()
-        self.fields_by_header = {lowered[field]: field for field in ("attempt", "deadline", "key")}
-        self.fields_by_header |= {b"host": "host", b"connection": "connection", b"expect": "expect"}
-        self.fields_by_header[b"idempotency-key"] = "order"
-        self.reserved_headers = {lowered[field] for field in ("customer", "caller", "expect")}
-        self._server: asyncio.Server | None = None
-        self._timeout_timer: asyncio.TimerHandle | None = None
-
-    async def start(self, address: str) -> None:
-        """Starts to listen at `host:port`. Raises OSError."""
-        host, port = split_address(address)
-        self._server = await self.loop.create_server(
-            self.make_connection, host, port, backlog=BACKLOG
-        )
-        self._timeout_timer = self.loop.call_later(TIMEOUT_CHECK_INTERVAL_S, self._check_timeouts)
-
-    def _check_timeouts(self) -> None:
-        now = self.loop.time()
-        for conn in list(self.connections):
-            conn.check_timeouts(now, self.limits)
-        self._timeout_timer = self.loop.call_later(TIMEOUT_CHECK_INTERVAL_S, self._check_timeouts)
-
-    def make_connection(self) -> "CallerConnection":
-        """Creates the protocol of a new connection."""
-        return CallerConnection(self)
-
-    def accept_only_local(self) -> None:
-        """Closes new connections, except those from the node's own IP address."""
-        self.accepts_only_local = True
-
-    def stop_listening(self) -> None:
-        """Stops accepting connections; the open ones stay."""
-        if self._server is not None:
-            self._server.close()
-
-    def close_after_pending(self, keep_upstream: bool = False) -> None:
-        """Closes idle connections now and the others after their pending responses.
-
-        With `keep_upstream`, those that the upstream beside the node may use stay.
-        """
-        for conn in list(self.connections):
-            if not (keep_upstream and (conn.serves_upstream or conn.is_late)):
-                conn.close_after_pending()
-
-    def is_busy(self) -> bool:
-        """Returns whether closing now would lose a caller's request or response."""
-        now = self.loop.time()
-        return any(conn.is_busy(now) for conn in self.connections)
-
-    async def close(self) -> None:
-        """Stops listening and closes all connections."""
-        self.stop_listening()
-        if self._timeout_timer is not None:
-            self._timeout_timer.cancel()
-        for conn in list(self.connections):
-            conn.close()
--- /dev/null
+++ b/src/marjoramvalve/h1/servers.py
@@ -0,0 +1,103 @@
+"""HTTP/1.1 server for callers."""
+
+import asyncio
+from collections.abc import Callable
+
+from marjoramvalve.h1.callers import CallerConnection
+from marjoramvalve.h1.headers import HeaderNames
+from marjoramvalve.h1.incoming import IncomingRequest
+from marjoramvalve.links import split_address
+from marjoramvalve.model import CallerLimits
+
+BACKLOG = 1024
+TIMEOUT_CHECK_INTERVAL_S = 0.5  # Timeouts of callers may fire this much late.
+MAX_UNSENT_BYTES_IN_TOTAL = 64 << 20  # Above it, the callers with most of them are disconnected.
+
+
+class CallerServer:
+    """Listens for callers and passes their requests to `handler`.
+
+    `on_request_error` gets the status and the detail of each request that is rejected here.
+    """
+
+    def __init__(
+        self,
+        names: HeaderNames,
+        handler: Callable[[IncomingRequest], None],
+        on_request_error: Callable[[int, bytes], None],
+    ) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.handler = handler
+        self.on_request_error = on_request_error
+        self.limits = CallerLimits()
+        self.connections: set[CallerConnection] = set()
+        self.accepts_only_local = False
+        self.held_bytes = 0  # Of all connections.
+        lowered = names.lowered()
+        self.fields_by_header = {lowered[field]: field for field in ("attempt", "deadline", "key")}
+        self.fields_by_header |= {b"host": "host", b"connection": "connection", b"expect": "expect"}
+        self.fields_by_header[b"idempotency-key"] = "order"
+        self.reserved_headers = {lowered[field] for field in ("customer", "caller", "expect")}
+        self._server: asyncio.Server | None = None
+        self._timeout_timer: asyncio.TimerHandle | None = None
+
+    async def start(self, address: str) -> None:
+        """Starts to listen at `host:port`. Raises OSError."""
+        host, port = split_address(address)
+        self._server = await self.loop.create_server(
+            self.make_connection, host, port, backlog=BACKLOG
+        )
+        self._timeout_timer = self.loop.call_later(TIMEOUT_CHECK_INTERVAL_S, self._check_timeouts)
+
+    def _check_timeouts(self) -> None:
+        now = self.loop.time()
+        for conn in list(self.connections):
+            conn.check_timeouts(now, self.limits)
+        self._limit_unsent_bytes()
+        self._timeout_timer = self.loop.call_later(TIMEOUT_CHECK_INTERVAL_S, self._check_timeouts)
+
+    def _limit_unsent_bytes(self) -> None:
+        unsent = sorted(
+            ((conn.unsent_bytes, conn) for conn in self.connections), key=lambda pair: -pair[0]
+        )
+        excess = sum(size for size, _ in unsent) - MAX_UNSENT_BYTES_IN_TOTAL
+        for size, conn in unsent:
+            if excess <= 0:
+                return
+            conn.abort()
+            excess -= size
+
+    def make_connection(self) -> CallerConnection:
+        """Creates the protocol of a new connection."""
+        return CallerConnection(self)
+
+    def accept_only_local(self) -> None:
+        """Closes new connections, except those from the node's own IP address."""
+        self.accepts_only_local = True
+
+    def stop_listening(self) -> None:
+        """Stops accepting connections; the open ones stay."""
+        if self._server is not None:
+            self._server.close()
+
+    def close_after_pending(self, keep_upstream: bool = False) -> None:
+        """Closes idle connections now and the others after their pending responses.
+
+        With `keep_upstream`, those that the upstream beside the node may use stay.
+        """
+        for conn in list(self.connections):
+            if not (keep_upstream and (conn.serves_upstream or conn.is_late)):
+                conn.close_after_pending()
+
+    def is_busy(self) -> bool:
+        """Returns whether closing now would lose a caller's request or response."""
+        now = self.loop.time()
+        return any(conn.is_busy(now) for conn in self.connections)
+
+    async def close(self) -> None:
+        """Stops listening and closes all connections."""
+        self.stop_listening()
+        if self._timeout_timer is not None:
+            self._timeout_timer.cancel()
+        for conn in list(self.connections):
+            conn.close()
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -10,8 +10,7 @@
 
 import psutil
 
-from marjoramvalve.h1 import HeaderNames
-from marjoramvalve.h1.callers import CallerServer
+from marjoramvalve.h1 import CallerServer, HeaderNames
 from marjoramvalve.h1.upstreams import MAX_BUFFERED_BYTES, MAX_NON_BODY_BYTES
 from tests.meshes import REQUEST_ID, header_value, ok_response
 from tests.test_mesh import MeshTestCase
