Expose one upstream at a time to a request that crashes upstreams

Cause: runs that overlap counted as one crash, on however many upstreams and in every round, and a watched request could run beside itself everywhere.

Overlapping crashes still are one event, as innocent requests run on many upstreams that crash together. But such an event makes a request watched now, crashes in later events all count, and a watched request is sent to one upstream only, where it runs alone. An answer clears it as before.

--- a/src/marjoramvalve/mesh/calls.py
+++ b/src/marjoramvalve/mesh/calls.py
@@ -17,7 +17,8 @@
     sent to. `objective_at` is when its objective is missed, which comes at or before `deadline`.
     `root_received_at` is when the external call at the root of the call chain was received.
     `is_retry` is set if this call or one of its ancestors has been sent before. `order` is set for
-    a call with an idempotency key, which must execute at most once in the fleet.
+    a call with an idempotency key, which must execute at most once in the fleet. `is_watched` is
+    set if upstreams have crashed on the request.
     """
 
     __slots__ = (
@@ -32,6 +33,7 @@
         "is_head",
         "is_retry",
         "is_sub_call",
+        "is_watched",
         "may_have_run",
         "order",
         "peer",
@@ -62,6 +64,7 @@
         self.objective_at = 0.0
         self.rank = 0
         self.is_sub_call = False
+        self.is_watched = False
         self.is_retry = False
         self.root_received_at = request.received_at
         self.customer = ""
--- a/src/marjoramvalve/mesh/egress.py
+++ b/src/marjoramvalve/mesh/egress.py
@@ -208,6 +208,7 @@
                 customer=call.customer,
             )
             return
+        call.is_watched = standing is Standing.WATCHED
         if not call.is_sub_call:
             name = call.target.name
             window_s = call.target.objective_s - self._route_stats.mean_s(name)
@@ -322,10 +323,9 @@
 
     def _dispatch(self, call: Call) -> None:
         now = self._loop.time()
-        peers = self.peers.for_service(call.service)
-        usable = [(p, p.stats) for p in peers if p not in call.tried_peers and p.usable]
+        candidates = [(peer, peer.stats) for peer in self.peers.candidates(call)]
         peer = choose_endpoint(
-            usable, self._route_stats.mean_s(call.target.name), now, self._rng.random
+            candidates, self._route_stats.mean_s(call.target.name), now, self._rng.random
         )
         if peer is None:
             if call.may_have_run:
--- a/src/marjoramvalve/mesh/jobs.py
+++ b/src/marjoramvalve/mesh/jobs.py
@@ -57,7 +57,6 @@
     the root of the call chain was received. `is_retry` is set if the call or one of its ancestors
     has been sent before. `calls` counts the sub-calls made on its behalf, by route.
     `started_at_capacity` is set if the upstream was at capacity when the job started.
-    `watched_fingerprints` holds the fingerprints of a request that upstreams have crashed on.
     """
 
     __slots__ = (
@@ -80,7 +79,6 @@
         "route",
         "started_at",
         "objective_at",
-        "watched_fingerprints",
     )
 
     def __init__(
@@ -119,4 +117,3 @@
         self.started_at_capacity = False
         self.exchange: Exchange | None = None
         self.done = False
-        self.watched_fingerprints: tuple[bytes, ...] = ()
--- a/src/marjoramvalve/mesh/peersets.py
+++ b/src/marjoramvalve/mesh/peersets.py
@@ -1,6 +1,7 @@
 """The ingress nodes that an egress may send calls to, and the links to them."""
 
 import asyncio
+import hashlib
 import random
 from collections.abc import Callable
 
@@ -13,6 +14,11 @@
 CHECK_INTERVAL_S = 0.1  # How often links with active calls are checked.
 
 
+def _rank(name: str, path: bytes) -> bytes:
+    """Returns a rendezvous hash, which spreads the paths over the nodes."""
+    return hashlib.blake2b(b"%b|%b" % (name.encode(), path), digest_size=8).digest()
+
+
 class PeerSet:
     """The local ingress and links to remote ones.
 
@@ -43,12 +49,21 @@
         """Returns the ingress nodes of a service, including those that are not usable."""
         return self._by_service.get(service, [])
 
+    def candidates(self, call: Call) -> list[Peer]:
+        """Returns the usable ingress nodes that a call has not been sent to yet.
+
+        A watched request has at most one, the same for all egresses that know the same nodes: only
+        one upstream is exposed to it at a time.
+        """
+        usable = [peer for peer in self.for_service(call.service) if peer.usable]
+        if call.is_watched and usable:
+            path = call.request.target.partition(b"?")[0]
+            usable = [min(usable, key=lambda peer: _rank(peer.name, path))]
+        return [peer for peer in usable if peer not in call.tried_peers]
+
     def has_alternative(self, call: Call, peer: Peer) -> bool:
         """Returns whether a call can be sent to an untried ingress other than this one."""
-        return any(
-            candidate is not peer and candidate not in call.tried_peers and candidate.usable
-            for candidate in self.for_service(call.service)
-        )
+        return any(candidate is not peer for candidate in self.candidates(call))
 
     def set_roster(self, roster: dict[str, tuple[str, str, bool]]) -> None:
         """Keeps links to the ingress nodes in the roster.
--- a/src/marjoramvalve/mesh/quarantines.py
+++ b/src/marjoramvalve/mesh/quarantines.py
@@ -65,8 +65,8 @@
     def check(self, job: Job, now: float) -> tuple[ErrorCode, float] | None:
         """Returns why a call must not run now and the seconds to wait, or None if it may run.
 
-        A watched request runs beside no other watched one, so that a crash can be attributed to
-        one of them. The same request may run any number of times at once.
+        A watched request runs beside no other watched one, nor beside itself, so that a crash can
+        be attributed to one of them.
         """
         if not self._may_list(job.head):
             return None
@@ -76,9 +76,8 @@
             return ErrorCode.QUARANTINED, left_s
         if standing is Standing.WATCHED:
             self._watched = {other for other in self._watched if not other.done}
-            if any(other.watched_fingerprints != digests for other in self._watched):
+            if any(other is not job for other in self._watched):
                 return ErrorCode.BUSY, WATCHED_RETRY_AFTER_S
-            job.watched_fingerprints = digests
             self._watched.add(job)
         return None
 
--- a/src/marjoramvalve/retries/suspects.py
+++ b/src/marjoramvalve/retries/suspects.py
@@ -4,13 +4,15 @@
 the same content, to any instance. When an upstream crashes, every request that it was running
 becomes a suspect, although at most one of them caused the crash. Three rules narrow it down:
 
-- A crash counts only for a run that began after the previous crash: upstreams that crash at the
-  same time while running the same popular request are one event. A retry always counts, because
-  it is sent only after an earlier run has failed.
+- Upstreams that crash at the same time while running the same popular request may have a common
+  cause. Such runs are one event: a run belongs to a new one if it began after the previous crash,
+  or if it is a retry, which is sent only after an earlier run has failed. However many upstreams
+  crash in the first event of a request, it is watched at most; those of later events all count.
 - A request that is answered is no longer a suspect. Instances that have answered it recently
   report so as soon as it is listed, before it is quarantined.
-- A request that was running in two crashes is watched: an upstream runs at most one watched
-  request at a time, so that the next crash is not attributed to the wrong one.
+- A request that was running in two crashes is watched: callers' nodes send it to one upstream
+  only, which runs at most one watched request at a time. The next crash is not attributed to the
+  wrong request, and other upstreams are spared.
 
 Each instance and each controller has its own table. Tables may be merged at any time and in any
 order: the higher count wins.
@@ -71,7 +73,8 @@
     """Entry of a `SuspectTable`. Times are on the table's clock, in seconds.
 
     `quarantines` counts how often the request has been quarantined. `first_crash_missing` means
-    that the crash of a retry was reported before the crash that caused the retry.
+    that the crash of a retry was reported before the crash that caused the retry. `events` counts
+    the crashes that can't have had a common cause other than the request.
     """
 
     crashes: int
@@ -80,6 +83,7 @@
     quarantines: int = 0
     listed_at: float = 0.0
     first_crash_missing: bool = False
+    events: int = 1
 
     def is_quarantined(self, now: float) -> bool:
         """Returns whether the request must not run."""
@@ -87,8 +91,8 @@
             self.crashes >= MIN_CRASHES_TO_QUARANTINE and now >= self.listed_at + QUARANTINE_DELAY_S
         )
 
-    def is_new_crash(self, run: CrashedRun, crashed_at: float) -> bool:
-        """Returns whether a crash is a new one.
+    def is_new_event(self, run: CrashedRun, crashed_at: float) -> bool:
+        """Returns whether a crash belongs to a new event.
 
         If the first crash is missing, one more report counts, however late it arrives. This clears
         `first_crash_missing`.
@@ -134,9 +138,13 @@
                 )
                 while len(self._unlisted) > MAX_UNLISTED:
                     del self._unlisted[next(iter(self._unlisted))]
-            elif suspect.is_new_crash(run, crashed_at):
-                self._add_crash(run.fingerprint, suspect, crashed_at, quarantine_s)
-                changed.append(run.fingerprint)
+                continue
+            if suspect.is_new_event(run, crashed_at):
+                suspect.events += 1
+            elif suspect.events == 1 and suspect.crashes >= MIN_CRASHES_TO_WATCH:
+                continue
+            self._add_crash(run.fingerprint, suspect, crashed_at, quarantine_s)
+            changed.append(run.fingerprint)
         return changed
 
     def _add_crash(
@@ -159,7 +167,8 @@
             listed.quarantines,
         ):
             return False
-        merged = _Suspect(listed.crashes, now, until, listed.quarantines)
+        events = suspect.events if suspect is not None else 1
+        merged = _Suspect(listed.crashes, now, until, listed.quarantines, events=events)
         self._add_listed(listed.fingerprint, merged, now)
         return True
 
--- a/src/marjoramvalve/scenario/loads.py
+++ b/src/marjoramvalve/scenario/loads.py
@@ -55,11 +55,18 @@
 
 @dataclass(frozen=True)
 class FatalRequest:
-    """A request that crashes every upstream that runs it, sent again every `every_s` seconds."""
+    """A request that crashes every upstream that runs it, sent again every `every_s` seconds.
+
+    Each time it is sent to `instances` instances, `gap_s` after each other. An upstream crashes
+    `crash_after_s` after it has begun to run the request.
+    """
 
     route: str
     begin_s: float
     every_s: float
+    instances: int = 1
+    gap_s: float = 0.0
+    crash_after_s: float = 0.005
 
 
 @dataclass(frozen=True)
@@ -123,7 +130,8 @@
     wasted: dict[str, int] = field(default_factory=dict)
     first_attempts: Counter[str] = field(default_factory=Counter)
     retries: Counter[str] = field(default_factory=Counter)
-    fatal_crashes: int = 0
+    fatal_runs: list[float] = field(default_factory=list)
+    fatal_crashes: list[float] = field(default_factory=list)
     fatal_requests: int = 0
     quarantined: int = 0
     arrivals: dict[str, list[float]] = field(default_factory=dict)
