--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -83,6 +83,7 @@
         invalid = {
             "cut short": config()[:-7],
             "unknown service": config(path={"split": [{"service": "s9", "weight": 1}]}),
+            "unknown service, of none": config(services=[]),
             "weight below 0": config(path={"split": [{"service": "s1", "weight": -1}]}),
             "no weight": config(path={"split": [{"service": "s1", "weight": 0}]}),
             "time-out": config(path={"timeoutMs": 600_001}),
