Drop the trailers of requests

A trailer could replace the request ID, the key or the host of a request whose head had been checked, and a chunked body above the limit of the head was refused with 431 as soon as a trailer followed (the latter seen by the review): fields behind the body were read like headers, and counted on top of the body.

Evidence: test_trailers_do_not_change_a_request and test_trailers_of_a_large_body_are_within_their_own_limit of test_mesh.CallTests fail on the parent and pass now.

--- a/src/marjoramvalve/h1/callers.py
+++ b/src/marjoramvalve/h1/callers.py
@@ -50,7 +50,8 @@
         self._request: IncomingRequest | None = None
         self._header_lines: list[bytes] = []
         self._body: list[bytes] = []
-        self._parsed_bytes = 0
+        self._head_bytes = 0  # Of the head, or of the trailers of the body.
+        self._parsed_bytes = 0  # Of the body.
         # Bytes of the head, or of the body with its framing, after the read that began it.
         self._received_bytes = 0
         self._in_head = False
@@ -186,7 +187,8 @@
             self._fail(431, b"request head is above the limit")
         elif (
             not self._in_head
-            and self._received_bytes > limit + (1 + MAX_CHUNK_OVERHEAD) * self._parsed_bytes
+            and self._received_bytes
+            > limit + self._head_bytes + (1 + MAX_CHUNK_OVERHEAD) * self._parsed_bytes
         ):
             self._fail(413, b"request body is above the limit")
 
@@ -199,8 +201,7 @@
         self._request = IncomingRequest(self, self._arrived_at)
         self._header_lines = []
         self._body = []
-        self._parsed_bytes = 0
-        self._received_bytes = 0
+        self._head_bytes = self._parsed_bytes = self._received_bytes = 0
         self._in_head = True
         self._connection_options = set()
         self.request_started_at = self._arrived_at
@@ -213,10 +214,10 @@
         self._count_head_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Interprets, forwards or drops a header."""
+        """Interprets, forwards or drops a header; trailers are dropped."""
         if self._request is not None:
             self._count_head_bytes(len(name) + len(value) + 4)
-        if self._request is None:
+        if self._request is None or not self._in_head:
             return
         lower = name.lower()
         field = self._server.fields_by_header.get(lower)
@@ -226,8 +227,9 @@
             self._header_lines.append(b"%b: %b\r\n" % (name, value))
 
     def _count_head_bytes(self, size: int) -> None:
-        self._parsed_bytes += size
-        if self._parsed_bytes > self._server.limits.header_bytes and not self._closing:
+        """Limits the size of a head, and that of the trailers of a body."""
+        self._head_bytes += size
+        if self._head_bytes > self._server.limits.header_bytes and not self._closing:
             self._fail(431, b"request head is above the limit")
 
     def _handle_header(self, field: str, value: bytes) -> None:
@@ -258,7 +260,7 @@
         if self._request is None:
             return
         self._in_head = False
-        self._parsed_bytes = self._received_bytes = 0
+        self._head_bytes = self._received_bytes = 0
         lines = self._header_lines
         if self._connection_options - {b"close", b"keep-alive"}:
             lines = [
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -83,6 +83,32 @@
         self.assertEqual(self.bench.run(scenario())[0], 200)
         self.assertTrue(self.received_requests[0].endswith("\r\n\r\nabcde"))
 
+    def send_chunked(self, trailers, size=20_000):
+        """Returns the status of a request whose chunked body is followed by trailers."""
+
+        async def scenario():
+            caller = await self.connect_pair(respond_immediately)
+            caller.send("/read/", "a1", method="PUT", extra="Transfer-Encoding: chunked\r\n")
+            body = f"{size:x}\r\n{'x' * size}\r\n0\r\n{trailers}\r\n"
+            caller.writer.write(body.encode())
+            return (await caller.read_response())[0]
+
+        return self.bench.run(scenario())
+
+    def test_trailers_of_a_large_body_are_within_their_own_limit(self):
+        self.assertEqual(self.send_chunked("X-Sum: 1\r\n"), 200)
+        self.assertTrue(self.received_requests[0].endswith("\r\n\r\n" + "x" * 20_000))
+
+    def test_large_trailers_are_refused(self):
+        self.assertEqual(self.send_chunked("X-Sum: 1\r\n" * 2000), 431)
+
+    def test_trailers_do_not_change_a_request(self):
+        trailers = f"{REQUEST_ID}: a2\r\nMarjoramvalve-Key: wrong\r\nHost: other\r\nX-Sum: 1\r\n"
+        self.assertEqual(self.send_chunked(trailers), 200)
+        request = self.received_requests[0]
+        self.assertEqual(header_value(request, REQUEST_ID), "a1")
+        self.assertIsNone(header_value(request, "X-Sum"))
+
     def test_pipelined_responses_keep_request_order(self):
         async def slow_first(request, writer):
             await asyncio.sleep(0.1 if " /read/1 " in request else 0.0)
