Ignore space around header values

RFC 9110 excludes the space around a field value from it.

Evidence: test_mesh.CallTests.test_space_around_header_values_is_ignored fails on the parent and passes now.

--- a/src/marjoramvalve/h1/callers.py
+++ b/src/marjoramvalve/h1/callers.py
@@ -222,7 +222,7 @@
         lower = name.lower()
         field = self._server.fields_by_header.get(lower)
         if field is not None:
-            self._handle_header(field, value)
+            self._handle_header(field, value.strip(b" \t"))
         elif lower not in CONNECTION_HEADERS and lower not in self._server.reserved_headers:
             self._header_lines.append(b"%b: %b\r\n" % (name, value))
 
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -109,6 +109,15 @@
         self.assertEqual(header_value(request, REQUEST_ID), "a1")
         self.assertIsNone(header_value(request, "X-Sum"))
 
+    def test_space_around_header_values_is_ignored(self):
+        async def scenario():
+            caller = await self.connect_pair(respond_immediately)
+            return (await caller.request("/read/", " a1 \t", key=" secret \t"))[0]
+
+        self.assertEqual(self.bench.run(scenario()), 200)
+        self.assertEqual(header_value(self.received_requests[0], REQUEST_ID), "a1")
+        self.assertNotIn("secret", self.received_requests[0])
+
     def test_pipelined_responses_keep_request_order(self):
         async def slow_first(request, writer):
             await asyncio.sleep(0.1 if " /read/1 " in request else 0.0)
