Answer a request to upgrade once and go on

A request with Upgrade was run and answered, and a 400 followed on its connection (seen by the review, by reading). RFC 9110 lets a server ignore the field: the request is answered without an upgrade, and the connection carries the next one.

Evidence: test_mesh.CallTests.test_request_to_upgrade_gets_one_response fails on the parent and passes now.

--- a/src/marjoramvalve/h1/callers.py
+++ b/src/marjoramvalve/h1/callers.py
@@ -121,8 +121,12 @@
         previous_state = (self._request, self._in_head)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._fail(400, b"upgrades are not served")
+        except httptools.HttpParserUpgrade as exc:
+            if self._closing:
+                return
+            # The request has been read and is answered without an upgrade; HTTP goes on behind it.
+            self._parser = httptools.HttpRequestParser(self)
+            self._parse(data[exc.args[0] :])
         except httptools.HttpParserError as exc:
             if not self._closing:
                 self._fail(400, str(exc).encode()[:100])
@@ -295,7 +299,10 @@
         if self._body:
             request.body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
             self._body = []
-        request.should_close = not self._parser.should_keep_alive()
+        if self._parser.should_upgrade():
+            request.should_close = b"close" in self._connection_options
+        else:
+            request.should_close = not self._parser.should_keep_alive()
         if not request.host:
             self._fail(400, b"request has no Host header")
             return
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -118,6 +118,25 @@
         self.assertEqual(header_value(self.received_requests[0], REQUEST_ID), "a1")
         self.assertNotIn("secret", self.received_requests[0])
 
+    def test_request_to_upgrade_gets_one_response(self):
+        async def scenario():
+            caller = await self.connect_pair(respond_immediately)
+            statuses = []
+            for number in range(0, 9, 3):
+                extra = "Connection: Upgrade\r\nUpgrade: websocket\r\n"
+                body = "hello" * number
+                method = "PUT" if body else "GET"
+                caller.send("/read/", f"a{number}", extra=extra, method=method, body=body)
+                caller.send("/read/", f"a{number + 1}")
+                statuses += [(await caller.read_response())[0] for _ in range(2)]
+                statuses.append((await caller.request("/read/", f"a{number + 2}"))[0])
+            return statuses
+
+        self.assertEqual(self.bench.run(scenario()), [200] * 9)
+        attempts = [header_value(request, REQUEST_ID) for request in self.received_requests]
+        self.assertEqual(sorted(attempts), [f"a{number}" for number in range(9)])
+        self.assertIsNone(header_value(self.received_requests[0], "Upgrade"))
+
     def test_pipelined_responses_keep_request_order(self):
         async def slow_first(request, writer):
             await asyncio.sleep(0.1 if " /read/1 " in request else 0.0)
