Refuse to upgrade a request with a body

Such a request is answered 400 now before anything is passed on. One without a body gets its response, and the connection goes on.

--- a/src/marjoramvalve/h1/callers.py
+++ b/src/marjoramvalve/h1/callers.py
@@ -56,6 +56,7 @@
         self._received_bytes = 0
         self._in_head = False
         self._connection_options: set[bytes] = set()
+        self._has_body = False
         self._last_request: IncomingRequest | None = None
         self._closing = False  # No more requests are read.
         self._lingers_until: float | None = None
@@ -208,6 +209,7 @@
         self._head_bytes = self._parsed_bytes = self._received_bytes = 0
         self._in_head = True
         self._connection_options = set()
+        self._has_body = False
         self.request_started_at = self._arrived_at
 
     def on_url(self, url: bytes) -> None:
@@ -255,6 +257,8 @@
             case "order":
                 request.idempotency_key = value
                 self._header_lines.append(b"Idempotency-Key: %b\r\n" % value)
+            case "length":
+                self._has_body = value != b"0"
             case "expect":
                 if value.lower() == b"100-continue" and not self._pending:
                     self._transport.write(CONTINUE_RESPONSE)
@@ -263,6 +267,10 @@
         """Completes the head: drops hop-by-hop headers and removes the caller's key."""
         if self._request is None:
             return
+        if self._has_body and self._parser.should_upgrade():
+            # The parser does not read the body of such a request.
+            self._fail(400, b"a request with a body can't be upgraded")
+            return
         self._in_head = False
         self._head_bytes = self._received_bytes = 0
         lines = self._header_lines
--- a/src/marjoramvalve/h1/servers.py
+++ b/src/marjoramvalve/h1/servers.py
@@ -36,6 +36,7 @@
         lowered = names.lowered()
         self.fields_by_header = {lowered[field]: field for field in ("attempt", "deadline", "key")}
         self.fields_by_header |= {b"host": "host", b"connection": "connection", b"expect": "expect"}
+        self.fields_by_header |= {b"content-length": "length", b"transfer-encoding": "length"}
         self.fields_by_header[b"idempotency-key"] = "order"
         self.reserved_headers = {lowered[field] for field in ("customer", "caller", "expect")}
         self._server: asyncio.Server | None = None
