Report a very high announced rate as the highest one in range

Found by reading once more: since it gave reports ranges, an upstream that names a limit above 10^9 requests per second made the reports of its node invalid, and the node fell out of the rosters. Limits of up to twelve digits are read.

The rate is reported as 10^9 at most. Hosts of addresses may contain underscores, as they could before.

Evidence: test_any_announced_rate_can_be_reported fails without the change and passes with it.

--- a/src/marjoramvalve/links/frames.py
+++ b/src/marjoramvalve/links/frames.py
@@ -34,7 +34,7 @@
 
 # `host:port`, with a port from 1 to 65,535.
 ADDRESS_PATTERN = (
-    r"[A-Za-z0-9.-]{1,253}:"
+    r"[A-Za-z0-9._-]{1,253}:"
     r"(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}|[1-5][0-9]{4}|[1-9][0-9]{0,3})"
 )
 
--- a/src/marjoramvalve/node/meters.py
+++ b/src/marjoramvalve/node/meters.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from marjoramvalve.fleet import NodeLoad, RouteRuns
+from marjoramvalve.fleet import MAX_AMOUNT, NodeLoad, RouteRuns
 from marjoramvalve.mesh import Ingress, RootCallLimiter
 
 SMOOTHING_FACTOR = 0.5  # Weight of the newest interval between two reports.
@@ -40,6 +40,8 @@
         _, waiting = self._ingress.load
         slots = self._ingress.limit if self._ingress.ready else 0
         rate_per_s = self._ingress.rate_limiter.announced_per_s
+        if rate_per_s is not None:
+            rate_per_s = min(MAX_AMOUNT, rate_per_s)
         return NodeLoad(offered, runs, slots, waiting, rate_per_s)
 
     def _smooth(self, rates: dict[str, float]) -> None:
--- a/tests/test_odd_frames.py
+++ b/tests/test_odd_frames.py
@@ -31,9 +31,11 @@
 )
 from marjoramvalve.links import MAX_FRAME_BYTES, Listener, connect_stream, is_address
 from marjoramvalve.links.frames import HEADER
+from marjoramvalve.mesh import RootCallLimiter
 from marjoramvalve.mesh.frames import ERROR, ErrorCode, FrameType, Hello
+from marjoramvalve.node import LoadMeter
 from marjoramvalve.telemetry import set_up_logs
-from tests.meshes import respond_immediately
+from tests.meshes import ok_response, respond_immediately
 from tests.test_mesh import MeshTestCase
 
 NESTED = b"\x91" * 100_000
@@ -67,7 +69,7 @@
     """Texts that are addresses, and others."""
 
     def test_hosts_with_ports_are_addresses(self):
-        for text in (ADDRESS, "node-1.example:1", "10.0.0.1:65535"):
+        for text in (ADDRESS, "node-1.example:1", "node_1:1", "10.0.0.1:65535"):
             self.assertTrue(is_address(text), text)
 
     def test_other_texts_are_not(self):
@@ -137,6 +139,31 @@
             self.assertIsNone(decode(kind, payload))
 
 
+class LoadMeterTests(MeshTestCase):
+    """Reports of a node whose upstream announces a rate."""
+
+    def test_any_announced_rate_can_be_reported(self):
+        headers = []
+
+        async def respond(request, writer):
+            writer.write(ok_response(request, extra=headers[0]))
+
+        async def play():
+            caller = await self.connect_pair(respond)
+            node = self.bench.nodes[1]
+            clock = asyncio.get_running_loop().time
+            meter = LoadMeter(node.ingress, RootCallLimiter(clock, random.Random(1)), clock)
+            reports = []
+            for number, rate in enumerate(("0", "7.5", "2000000000", "9" * 12)):
+                headers[:] = [f"Marjoramvalve-Rate-Limit: {rate}\r\n"]
+                await caller.request("/order/", f"a{number}")
+                reports.append(decode(FrameKind.REPORT, encode(report(load=meter.sample()))))
+                node.ingress.announcements.rate_limiter.__init__()
+            return [item and item.load.rate_per_s for item in reports]
+
+        self.assertEqual(self.bench.run(play()), [0.0, 7.5, 1e9, 1e9])
+
+
 class ControllerTests(unittest.TestCase):
     """A controller whose list of nodes gets odd entries."""
 
