--- a/src/marjoramvalve/h1/callers.py
+++ b/src/marjoramvalve/h1/callers.py
@@ -12,6 +12,9 @@
 from marjoramvalve.h1.redaction import remove_key, remove_key_from_query
 from marjoramvalve.model import CallerLimits
 
+if TYPE_CHECKING:
+    from marjoramvalve.h1.servers import CallerServer
+
 STALLED_REQUEST_S = 1.0  # A partial request without new data this long doesn't delay a shutdown.
 # A connection with this many requests in progress is read again once that has halved. One slice of
 # data is parsed at a time, so that the requests of a slice may come on top.
@@ -26,9 +29,6 @@
 SEND_TIMEOUT_S = 20.0
 LINGER_S = 1.0  # How long a caller has to close a connection after the last response on it.
 MAX_CHUNK_OVERHEAD = 8  # Framing bytes per body byte; enough for chunks of one byte.
-if TYPE_CHECKING:
-    from marjoramvalve.h1.servers import CallerServer
-
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 log = structlog.get_logger("callers")
--- a/tests/test_control_api.py
+++ b/tests/test_control_api.py
@@ -91,7 +91,7 @@
         self.assertTrue(self.ingress.ready)
 
 
-ODD_HEARTBEATS = {
+INVALID_HEARTBEATS = {
     "nested": b'{"service":"s1","x":' + b"[" * 100_000 + b"]" * 100_000 + b"}",
     "only brackets": b"[" * 100_000,
     "not UTF-8": heartbeat().replace(b'"v1"', b'"\xff"'),
@@ -99,7 +99,7 @@
     "empty": b"",
     "list": b"[" + heartbeat() + b"]",
 }
-ODD_FIELDS = (
+INVALID_FIELDS = (
     *({"capacity": value} for value in (0, -1, 1e308, 10**30, 1 << 63, "many", None, [7])),
     *({"seq": value} for value in (-1, 10**30, 1 << 64, 2.5, None, "4")),
     *({"born": value} for value in (-1, 10**30, 1 << 64, 1.5, 1 << 62, "1000")),
@@ -122,8 +122,8 @@
 )
 
 
-class OddHeartbeatTests(ControlApiTestCase):
-    """Heartbeats of another writer: they are refused, change nothing and reach nobody."""
+class InvalidHeartbeatTests(ControlApiTestCase):
+    """Heartbeats that name no sound upstream: they are refused, change nothing and reach nobody."""
 
     def check_refused(self, path, body):
         """Posts a message to a node that knows a sound upstream, which must stay in use."""
@@ -145,11 +145,11 @@
                 self.program.node.ingress.state = UpstreamState()
 
     def test_heartbeat_that_can_not_be_read_is_refused(self):
-        for name, body in ODD_HEARTBEATS.items():
+        for name, body in INVALID_HEARTBEATS.items():
             self.check_heartbeat_refused(body, name)
 
-    def test_heartbeat_with_an_odd_field_is_refused(self):
-        for fields in ODD_FIELDS:
+    def test_heartbeat_with_an_invalid_field_is_refused(self):
+        for fields in INVALID_FIELDS:
             self.check_heartbeat_refused(heartbeat(**{"born": 2000, **fields}), str(fields))
 
     def test_heartbeat_without_a_field_is_refused(self):
@@ -158,13 +158,13 @@
             del fields[field]
             self.check_heartbeat_refused(json.dumps(fields).encode(), field)
 
-    def test_odd_name_is_refused(self):
+    def test_invalid_name_is_refused(self):
         for name in ("%20" * 100, "a/b", "\u00e9", "x" * 257):
             with self.subTest(name):
                 self.check_refused(f"/instances/{name}/heartbeat", heartbeat(born=2000))
                 self.program.node.ingress.state = UpstreamState()
 
-    def test_odd_deregistration_is_refused(self):
+    def test_invalid_deregistration_is_refused(self):
         bodies = (b"[" * 100_000, b'{"born":' + b"9" * 30 + b"}", b'{"born":-1}', b"\xff")
         for body in (*bodies, b'{"born":4611686018427387904}'):
             with self.subTest(body[:40]):
--- a/tests/test_odd_frames.py
+++ b/tests/test_malformed_frames.py
@@ -41,7 +41,7 @@
 NESTED = b"\x91" * 100_000
 NAN, INFINITE = float("nan"), float("inf")
 ADDRESS = "127.0.0.1:7000"
-ODD_ADDRESSES = (
+INVALID_ADDRESSES = (
     "",
     "a",
     ":1",
@@ -73,14 +73,14 @@
             self.assertTrue(is_address(text), text)
 
     def test_other_texts_are_not(self):
-        for text in ODD_ADDRESSES:
+        for text in INVALID_ADDRESSES:
             self.assertFalse(is_address(text), text)
 
-    def test_connecting_to_an_odd_address_fails_like_any_other_connection(self):
+    def test_connecting_to_an_invalid_address_fails_like_any_other_connection(self):
         async def connect(text):
             await connect_stream(text, None)
 
-        for text in ODD_ADDRESSES:
+        for text in INVALID_ADDRESSES:
             with self.subTest(text), self.assertRaises(OSError):
                 asyncio.run(connect(text))
 
@@ -99,11 +99,11 @@
         ):
             self.assertEqual(decode(kind, encode(message)), message)
 
-    def test_odd_messages_are_dropped(self):
-        messages = [(FrameKind.REPORT, report(address=text)) for text in ODD_ADDRESSES]
+    def test_invalid_messages_are_dropped(self):
+        messages = [(FrameKind.REPORT, report(address=text)) for text in INVALID_ADDRESSES]
         messages += [
             (FrameKind.CONTROLLER_HELLO, ControllerHello("c", *addresses))
-            for text in ODD_ADDRESSES
+            for text in INVALID_ADDRESSES
             for addresses in ((text, ADDRESS), (ADDRESS, text))
         ]
         for number in (-1.0, 1e300, INFINITE, NAN):
@@ -165,9 +165,9 @@
 
 
 class ControllerTests(unittest.TestCase):
-    """A controller whose list of nodes gets odd entries."""
+    """A controller whose list of nodes gets invalid entries."""
 
-    def test_odd_report_reaches_no_node(self):
+    def test_invalid_report_reaches_no_node(self):
         set_up_logs("critical", "test")
 
         async def play(folder):
@@ -176,7 +176,7 @@
             controller = Controller(options, asyncio.get_running_loop().time, random.Random(1))
             await controller.start()
             stream = await connect_stream(address, _Ignore())
-            for text in ODD_ADDRESSES:
+            for text in INVALID_ADDRESSES:
                 stream.send(FrameKind.REPORT, encode(report(address=text)))
                 stream.send(FrameKind.CONTROLLER_HELLO, encode(ControllerHello("c", text, text)))
             stream.send(FrameKind.REPORT, NESTED)
@@ -206,7 +206,7 @@
 
 
 class RosterTests(unittest.TestCase):
-    """A node that reads a list of nodes with odd entries."""
+    """A node that reads a list of nodes with invalid entries."""
 
     def test_node_follows_the_sound_entries(self):
         async def play():
@@ -221,21 +221,21 @@
             address = free_address()
             link = type("Link", (), {"address": address, "is_open": True})()
             client._links[address] = link
-            for number, text in enumerate(ODD_ADDRESSES):
-                odd = RosterEntry("odd", "d", text, "s", (1 << 64) - 1)
+            for number, text in enumerate(INVALID_ADDRESSES):
+                invalid = RosterEntry("stranger", "d", text, "s", (1 << 64) - 1)
                 sound = RosterEntry(f"n-{number}", "d", f"127.0.0.1:{7000 + number}", "s", 1)
-                frame = encode(Roster(False, (odd, sound)))
+                frame = encode(Roster(False, (invalid, sound)))
                 client._on_link_frame(link, FrameKind.ROSTER, frame)
             return peers[-1]
 
-        expected = [f"127.0.0.1:{7000 + number}" for number in range(len(ODD_ADDRESSES))]
+        expected = [f"127.0.0.1:{7000 + number}" for number in range(len(INVALID_ADDRESSES))]
         self.assertEqual(asyncio.run(play()), sorted(expected))
 
 
 class MeshFrameTests(MeshTestCase):
-    """Odd frames at the links between nodes."""
+    """Malformed frames at the links between nodes."""
 
-    def test_odd_frame_closes_only_its_own_stream(self):
+    def test_malformed_frame_closes_only_its_own_stream(self):
         frames = (
             (FrameType.HELLO, NESTED),
             (FrameType.HELLO, b"\xc1"),
@@ -253,7 +253,7 @@
             for number, (kind, payload) in enumerate(frames):
                 host, _, port = address.rpartition(":")
                 reader, writer = await asyncio.open_connection(host, int(port))
-                hello = msgspec.msgpack.encode(Hello(70 + number, "odd", "d"))
+                hello = msgspec.msgpack.encode(Hello(70 + number, "stranger", "d"))
                 for frame in ((FrameType.HELLO, hello), (kind, payload)):
                     writer.write(HEADER.pack(len(frame[1]), frame[0]) + frame[1])
                 while await reader.read(65536):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -98,10 +98,10 @@
             with self.subTest(name):
                 self.assertIsInstance(parse_config(raw, 5), Err)
 
-    def test_odd_configurations_are_rejected(self):
+    def test_malformed_configurations_are_rejected(self):
         huge = 10**30
         tenant = {"name": "t1", "apiKeys": ["k1"]}
-        odd = {
+        malformed = {
             "nested": config()[:-1] + b',"x":' + b"[" * 100_000 + b"]" * 100_000 + b"}",
             "only brackets": b"[" * 100_000,
             "not UTF-8": config().replace(b"r-1", b"\xff"),
@@ -120,7 +120,7 @@
             "limit": config(limits={"maxHeaderBytes": -1}),
             "huge limit": config(limits={"idleTimeoutMs": huge}),
         }
-        for name, raw in odd.items():
+        for name, raw in malformed.items():
             with self.subTest(name):
                 self.assertIsInstance(parse_config(raw, 5), Err)
 
