Log the calls that a stopping node sends late and leaves unanswered

A node that stops logged how many calls were left at the end, not which ones. The log could not tell a request that was taken late from one that was taken in time and never ended.

call.sent_late names each call that goes to an upstream after the lame duck phase, with the times at which it was received and sent, and call.unanswered each one in progress when the node closes. A call that waits for its rate limiter counts as in progress too.

--- a/src/marjoramvalve/mesh/egress.py
+++ b/src/marjoramvalve/mesh/egress.py
@@ -72,10 +72,27 @@
         self._orders = EgressOrders(keeper, hello.session, service, self._request_id_header)
         self.table: RouteTable | None = None
         self.is_config_confirmed: Callable[[], bool] = lambda: False
-        self.active_calls = 0
+        self._active: set[Call] = set()
+        self._passes_on_late_since: float | None = None
         self.metrics = MetricsRegistry()
         self._responder = LocalResponder(self.metrics, rng)
 
+    @property
+    def active_calls(self) -> int:
+        """Returns how many calls are in progress."""
+        return len(self._active)
+
+    def log_late_calls(self) -> None:
+        """Logs each call that is sent to an upstream from now on, while the node drains."""
+        self._passes_on_late_since = self._loop.time()
+
+    def log_unanswered(self) -> None:
+        """Logs each call in progress, which ends without a response."""
+        for call in self._active:
+            self._responder.log_call(
+                "call.unanswered", call, Reason.STOPPING, "node stops", self.table.version
+            )
+
     # Peers
 
     def set_peers(self, roster: dict[str, tuple[str, str, bool]]) -> None:
@@ -229,6 +246,7 @@
             retry_after_s = self._limiter.admit(call.customer)
             if retry_after_s is None:
                 request.on_disconnect = lambda: self._on_caller_gone(call)
+                self._active.add(call)
                 self._limiter.wait(call.customer, lambda after: self._on_rate_decision(call, after))
                 return
             if retry_after_s > 0:
@@ -251,6 +269,7 @@
 
     def _refuse_for_rate(self, call: Call, retry_after_s: float) -> None:
         call.done = True
+        self._active.discard(call)
         self._root_call_admission.give_back(call.target.name)
         if self._limiter.is_at_limit(call.customer):
             reason, status = Reason.RATE, 429
@@ -266,6 +285,7 @@
             self._refuse_for_rate(call, retry_after_s)
         elif not self._is_key_valid(call):
             call.done = True
+            self._active.discard(call)
             self._root_call_admission.give_back(call.target.name)
             self._limiter.give_back(call.customer)
             self._refuse_request(call.request, Reason.STALE_CONFIG, 503, NO_CONFIG_RETRY_AFTER_S)
@@ -288,7 +308,7 @@
             customer,
         )
         request.on_disconnect = lambda: self._on_caller_gone(call)
-        self.active_calls += 1
+        self._active.add(call)
         self._deadlines.add(call.deadline, lambda: self._expire(call))
         if call.is_retry:
             self._retry_budget.charge(call.service)
@@ -338,10 +358,24 @@
         call.peer = peer
         call.tries += 1
         call.sent_at = now
+        if self._passes_on_late_since is not None:
+            self._log_late(call, now)
         peer.send(call)
         if peer is not self.peers.local:
             self.peers.schedule_check()
 
+    def _log_late(self, call: Call, now: float) -> None:
+        log.info(
+            "call.sent_late",
+            request=call.attempt,
+            route=call.target.name,
+            peer=call.peer.name,
+            sub_call=call.is_sub_call,
+            repeatable=call.repeatable,
+            received_after_s=round(call.request.received_at - self._passes_on_late_since, 3),
+            after_s=round(now - self._passes_on_late_since, 3),
+        )
+
     def call_completed(
         self, peer: Peer, call: Call, status: int, head: bytes, body: bytes, service_s: float
     ) -> None:
@@ -438,7 +472,7 @@
     def _finish(self, call: Call) -> None:
         call.done = True
         call.head = call.body = b""  # Frees memory: the deadline timer keeps the call alive.
-        self.active_calls -= 1
+        self._active.discard(call)
 
     def _expire(self, call: Call) -> None:
         if call.done:
@@ -461,9 +495,9 @@
         if call.order is not None and call.peer is not None:
             return  # Its response is stored in case the caller resends the order.
         call.done = True
+        self._active.discard(call)
         if not call.service:
             return  # It was still waiting for the rate limiter.
-        self.active_calls -= 1
         if call.peer is not None:
             call.peer.cancel(call, not call.repeatable)
         self.metrics.add("callers_gone", call.target.name)
--- a/src/marjoramvalve/mesh/nodes.py
+++ b/src/marjoramvalve/mesh/nodes.py
@@ -164,7 +164,9 @@
         """
         self.stopping = True
         started_at = clock()
+        log.info("node.draining", calls=self.egress.active_calls, running=len(self.ingress.running))
         await asyncio.sleep(self.options.lame_duck_s)
+        self.egress.log_late_calls()
         self.ingress.stop_accepting()
         self.callers.accept_only_local()
         while clock() < started_at + self.options.drain_timeout_s:
@@ -180,6 +182,7 @@
             ):
                 break
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+        self.egress.log_unanswered()
         log.info(
             "node.drained",
             after_s=round(clock() - started_at, 2),
