--- a/tests/meshes.py
+++ b/tests/meshes.py
@@ -212,13 +212,22 @@
 
         return self.runner.run(bounded())
 
-    async def add_node(self, respond, service="s", slots=4, doc=None) -> MeshNode:
+    async def add_node(
+        self, respond, service="s", slots=4, doc=None, drain_timeout_s=2.0, lame_duck_s=0.1
+    ) -> MeshNode:
         """Starts a node and its upstream."""
         upstream = FakeUpstream(respond)
         await upstream.start()
         name = f"n{len(self.nodes)}"
         options = MeshOptions(
-            name, "d", service, free_address(), free_address(), upstream.address, 2.0, 0.1
+            name,
+            "d",
+            service,
+            free_address(),
+            free_address(),
+            upstream.address,
+            drain_timeout_s,
+            lame_duck_s,
         )
         node = await self._start_node(options, len(self.nodes), doc)
         self.nodes.append(node)
