Read nothing behind a request whose response closes the connection

A node in a planned stop refuses what is no sub-call on connections that were opened late, and closes them behind the refusal. Where an earlier sub-call on the connection was still running, the refusal waited for its turn, and a sub-call sent behind it was read and passed on meanwhile: it ran, and the connection closed before its response.

Once it is known that a response closes the connection, nothing behind it is read. The same holds for a caller's own Connection: close.

tests.test_planned_stops...test_sub_call_behind_a_refused_request_is_not_passed_on failed before (the second sub-call had run) and passes.

--- a/src/marjoramvalve/h1/callers.py
+++ b/src/marjoramvalve/h1/callers.py
@@ -315,8 +315,8 @@
             self._fail(400, b"request has no Host header")
             return
         self._pending.append(request)
-        self._closing = request is self._last_request
         self._handle(request)
+        self._closing = self._closing or request.should_close or request is self._last_request
 
     def _handle(self, request: IncomingRequest) -> None:
         """Passes a request to the handler; one that it fails on is answered all the same."""
