Send no call that outlasts the node's planned stop

The node decided what it takes when a connection was marked or accepted, and never again: whatever became whole later, on whichever connection, was sent.

Now the egress asks each time that it sends a call whether the response will come before the stop: also for calls that waited for their rate or record, and for repeats. While callers don't know of the stop yet, the slowest recent run of the route decides, or the objective where none is known. After that a root call is sent only if even its deadline comes first, since its caller can send it elsewhere, and a sub-call if twice the slowest run does, since refusing it fails its parent. Everything else is refused as not run. An upstream gets no more time than is left, so that it can answer itself. The ingress asks the same for the calls of other nodes, which go to another upstream. Requests that are no sub-calls are refused on every connection that stays open for the upstream, not only on new ones.

--- a/src/marjoramvalve/mesh/calls.py
+++ b/src/marjoramvalve/mesh/calls.py
@@ -15,6 +15,8 @@
 
     `runs` counts the upstreams that may have executed the request, `tries` the ingress nodes it was
     sent to. `objective_at` is when its objective is missed, which comes at or before `deadline`.
+    `send_deadline` is the deadline that its upstream is told, which comes before it if the node
+    stops earlier.
     `root_received_at` is when the external call at the root of the call chain was received.
     `is_retry` is set if this call or one of its ancestors has been sent before. `order` is set for
     a call with an idempotency key, which must execute at most once in the fleet. `is_watched` is
@@ -42,6 +44,7 @@
         "request",
         "route_name",
         "runs",
+        "send_deadline",
         "sent_at",
         "service",
         "target",
@@ -62,6 +65,7 @@
         self.repeatable = target.repeatable
         self.deadline = 0.0
         self.objective_at = 0.0
+        self.send_deadline = 0.0
         self.rank = 0
         self.is_sub_call = False
         self.is_watched = False
--- a/src/marjoramvalve/mesh/egress.py
+++ b/src/marjoramvalve/mesh/egress.py
@@ -23,6 +23,7 @@
 from marjoramvalve.mesh.quarantines import Quarantine
 from marjoramvalve.mesh.queues import ROOT_CALL_BIT, combine_ranks
 from marjoramvalve.mesh.routes import RouteTable
+from marjoramvalve.mesh.stops import STOPPING_RETRY_AFTER_S, SlowestRuns, StopSchedule
 from marjoramvalve.mesh.timers import DeadlineScheduler
 from marjoramvalve.outcomes import Reason, RunStatus
 from marjoramvalve.retries import Standing
@@ -73,7 +74,8 @@
         self.table: RouteTable | None = None
         self.is_config_confirmed: Callable[[], bool] = lambda: False
         self._active: set[Call] = set()
-        self._passes_on_late_since: float | None = None
+        self.stop: StopSchedule | None = None
+        self._slowest_runs = SlowestRuns()
         self.metrics = MetricsRegistry()
         self._responder = LocalResponder(self.metrics, rng)
 
@@ -82,10 +84,6 @@
         """Returns how many calls are in progress."""
         return len(self._active)
 
-    def log_late_calls(self) -> None:
-        """Logs each call that is sent to an upstream from now on, while the node drains."""
-        self._passes_on_late_since = self._loop.time()
-
     def log_unanswered(self) -> None:
         """Logs each call in progress, which ends without a response."""
         for call in self._active:
@@ -113,6 +111,7 @@
             if call.repeatable and call.runs + 1 < call.target.attempts:
                 if (
                     not self._may_resend(call)
+                    or not self._may_send(call, self._loop.time())
                     or not self.peers.has_alternative(call, peer)
                     or not self._retry_budget.try_take(call.service)
                 ):
@@ -129,6 +128,32 @@
         """Closes all links."""
         self.peers.close()
 
+    # Planned stop
+
+    def _may_send(self, call: Call, now: float) -> bool:
+        """Returns whether the response to a call that is sent now will come before the node stops.
+
+        This is asked whenever a call is sent, whatever delayed it until then.
+        """
+        if self.stop is None:
+            return True
+        slowest_s = self._slowest_runs.slowest_s(call.target.name, now)
+        return self.stop.allows(now, call.deadline, call.objective_at, slowest_s, call.is_sub_call)
+
+    def _stopping_retry_after_s(self, now: float) -> float:
+        """Returns the time in seconds after which callers know of the stop."""
+        return max(STOPPING_RETRY_AFTER_S, self.stop.serves_until - now)
+
+    def _refuse_stopping(self, call: Call) -> None:
+        self._refuse_request(
+            call.request,
+            Reason.STOPPING,
+            503,
+            self._stopping_retry_after_s(self._loop.time()),
+            route=call.target.name,
+            customer=call.customer,
+        )
+
     # Admission
 
     def handle(self, request: IncomingRequest) -> None:
@@ -153,6 +178,7 @@
             deadline_ms = DEFAULT_DEADLINE_MS
         call.deadline = request.received_at + min(deadline_ms / 1000, target.deadline_s)
         call.objective_at = min(call.deadline, request.received_at + target.objective_s)
+        call.send_deadline = call.deadline
         if not self._authenticate(call, table):
             return
         problem = self._orders.identify(call)
@@ -214,6 +240,9 @@
         and a request refused by the root call limit does not count against the rate limit.
         """
         request = call.request
+        if not self._may_send(call, self._loop.time()):
+            self._refuse_stopping(call)
+            return
         standing, remaining_s = self._quarantine.standing(call, self._loop.time())
         if standing is Standing.QUARANTINED:
             self._refuse_request(
@@ -343,6 +372,10 @@
 
     def _dispatch(self, call: Call) -> None:
         now = self._loop.time()
+        if not self._may_send(call, now):
+            retry_after_s = self._stopping_retry_after_s(now)
+            self._refuse(call, Reason.STOPPING, retry_after_s, "node stops")
+            return
         candidates = [(peer, peer.stats) for peer in self.peers.candidates(call)]
         peer = choose_endpoint(
             candidates, self._route_stats.mean_s(call.target.name), now, self._rng.random
@@ -358,13 +391,16 @@
         call.peer = peer
         call.tries += 1
         call.sent_at = now
-        if self._passes_on_late_since is not None:
+        if self.stop is not None:
+            call.send_deadline = min(call.deadline, self.stop.answers_until)
             self._log_late(call, now)
         peer.send(call)
         if peer is not self.peers.local:
             self.peers.schedule_check()
 
     def _log_late(self, call: Call, now: float) -> None:
+        if now < self.stop.serves_until:
+            return
         log.info(
             "call.sent_late",
             request=call.attempt,
@@ -372,8 +408,9 @@
             peer=call.peer.name,
             sub_call=call.is_sub_call,
             repeatable=call.repeatable,
-            received_after_s=round(call.request.received_at - self._passes_on_late_since, 3),
-            after_s=round(now - self._passes_on_late_since, 3),
+            received_s=round(call.request.received_at - self.stop.serves_until, 3),
+            sent_s=round(now - self.stop.serves_until, 3),
+            left_s=round(self.stop.answers_until - now, 3),
         )
 
     def call_completed(
@@ -387,6 +424,7 @@
         if failed:
             peer.stats.record_answer(1.0, True, now)
         else:
+            self._slowest_runs.record(call.target.name, service_s, now)
             peer.stats.record_answer(
                 self._route_stats.record_service_time(call.target.name, service_s), False, now
             )
@@ -418,6 +456,7 @@
             and call.runs < call.target.attempts
             and self._route_stats.failure_rate(call.target.name) < SYSTEMIC_FAILURE_RATE
             and self._loop.time() < call.objective_at
+            and self._may_send(call, self._loop.time())
             and self._may_resend(call)
             and self.peers.has_alternative(call, peer)
             and self._retry_budget.try_take(call.service)
--- a/src/marjoramvalve/mesh/ingress.py
+++ b/src/marjoramvalve/mesh/ingress.py
@@ -15,6 +15,7 @@
 from marjoramvalve.mesh.queues import CallQueue, ServiceTimes
 from marjoramvalve.mesh.rate_logs import RateLog
 from marjoramvalve.mesh.saturation import SaturationEstimator
+from marjoramvalve.mesh.stops import SlowestRuns, StopSchedule
 from marjoramvalve.mesh.timers import DeadlineScheduler
 
 SHED_LIMIT_FACTOR = 0.95  # Applied to the limit when the upstream sheds a call.
@@ -52,6 +53,8 @@
         self.pool = UpstreamPool(names, self._on_unexpected_response)
         self.state = UpstreamState()
         self.stopping = False
+        self.stop: StopSchedule | None = None
+        self._slowest_runs = SlowestRuns()
         self._shed_limit = 0.0
         self._shed_limit_updated_at = self._loop.time()
         self._unreachable_until = 0.0
@@ -199,7 +202,7 @@
                 job, ErrorCode.STOPPING if self.stopping else ErrorCode.NOT_READY, MIN_RETRY_AFTER_S
             )
             return
-        if self._refuse_if_quarantined(job, now):
+        if self._refuse_if_stopping(job, now) or self._refuse_if_quarantined(job, now):
             return
         pacing_delay_s = self.rate_limiter.wait_s(0, now)
         if self._running_count < self.limit and not pacing_delay_s and not len(self._queue):
@@ -254,7 +257,7 @@
         if left_ms <= 0:
             self._refuse(job, ErrorCode.TOO_LATE, MIN_RETRY_AFTER_S)
             return
-        if self._refuse_if_quarantined(job, now):
+        if self._refuse_if_stopping(job, now) or self._refuse_if_quarantined(job, now):
             return
         framing = b""
         if job.body or job.head.startswith(BODY_METHODS):
@@ -291,6 +294,18 @@
         )
         self.pool.send(job.exchange)
 
+    def _refuse_if_stopping(self, job: Job, now: float) -> bool:
+        """Refuses a call that would not end before the node stops; True if refused."""
+        if self.stop is None:
+            return False
+        slowest_s = self._slowest_runs.slowest_s(job.route, now)
+        is_allowed = self.stop.allows(
+            now, job.deadline, job.objective_at, slowest_s, job.is_sub_call
+        )
+        if not is_allowed:
+            self._refuse(job, ErrorCode.STOPPING, MIN_RETRY_AFTER_S)
+        return not is_allowed
+
     def _refuse_if_quarantined(self, job: Job, now: float) -> bool:
         """Refuses a call that is quarantined because upstreams crashed on it; True if refused."""
         refusal = self.quarantine.check(job, now)
@@ -361,6 +376,7 @@
             self.quarantine.record_answer(job, now)
             if response.status < 500:
                 self.service_times.record(job.route, service_s)
+                self._slowest_runs.record(job.route, service_s, now)
                 self._record_run(job, service_s)
                 self._record_saturation(job, service_s, now)
             job.done = True
--- a/src/marjoramvalve/mesh/nodes.py
+++ b/src/marjoramvalve/mesh/nodes.py
@@ -18,12 +18,12 @@
 from marjoramvalve.mesh.quarantines import Quarantine
 from marjoramvalve.mesh.routes import RouteTable
 from marjoramvalve.mesh.sessions import IngressServer
+from marjoramvalve.mesh.stops import STOPPING_RETRY_AFTER_S, StopSchedule
 from marjoramvalve.mesh.timers import DeadlineScheduler
 from marjoramvalve.model import Document
 from marjoramvalve.outcomes import Reason
 
 DRAIN_POLL_INTERVAL_S = 0.05  # How often a draining node checks for active calls.
-STOPPING_RETRY_AFTER_S = 0.1  # Another node of the service can be tried immediately.
 
 log = structlog.get_logger("node")
 
@@ -94,9 +94,14 @@
         self.stopping = False
 
     def _handle(self, request: IncomingRequest) -> None:
-        """Passes a request to the egress; during a drain, new connections are for sub-calls."""
-        if request.conn.is_late and self.egress.find_parent(request) is None:
-            request.should_close = True
+        """Passes a request to the egress, which decides whether there is time for it in a drain.
+
+        Connections that the upstream keeps or opens during a drain are for sub-calls.
+        """
+        conn = request.conn
+        is_for_upstream = self.callers.accepts_only_local and (conn.is_late or conn.serves_upstream)
+        if is_for_upstream and self.egress.find_parent(request) is None:
+            request.should_close = request.should_close or conn.is_late
             self._responder.refuse(request, Reason.STOPPING, 503, STOPPING_RETRY_AFTER_S)
         else:
             self.egress.handle(request)
@@ -164,12 +169,28 @@
         """
         self.stopping = True
         started_at = clock()
-        log.info("node.draining", calls=self.egress.active_calls, running=len(self.ingress.running))
-        await asyncio.sleep(self.options.lame_duck_s)
-        self.egress.log_late_calls()
+        ends_at = started_at + self.options.drain_timeout_s
+        lame_duck_s = self.options.lame_duck_s
+        now = asyncio.get_running_loop().time()
+        stop = StopSchedule(now + lame_duck_s, now + self.options.drain_timeout_s)
+        self.egress.stop = self.ingress.stop = stop
+        running, waiting = self.ingress.load
+        log.info("node.draining", calls=self.egress.active_calls, running=running, waiting=waiting)
+        await asyncio.sleep(lame_duck_s)
         self.ingress.stop_accepting()
         self.callers.accept_only_local()
-        while clock() < started_at + self.options.drain_timeout_s:
+        await self._finish_calls(clock, ends_at)
+        self.egress.log_unanswered()
+        log.info(
+            "node.drained",
+            after_s=round(clock() - started_at, 2),
+            calls=self.egress.active_calls,
+            running=len(self.ingress.running),
+        )
+
+    async def _finish_calls(self, clock: Callable[[], float], until: float) -> bool:
+        """Closes connections as their calls end; returns whether all have ended in time."""
+        while clock() < until:
             is_upstream_running = bool(self.ingress.running)
             self.callers.close_after_pending(keep_upstream=is_upstream_running)
             if not is_upstream_running:
@@ -180,15 +201,9 @@
                 or self.callers.is_busy()
                 or self.sessions.has_unacknowledged()
             ):
-                break
+                return True
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
-        self.egress.log_unanswered()
-        log.info(
-            "node.drained",
-            after_s=round(clock() - started_at, 2),
-            calls=self.egress.active_calls,
-            running=len(self.ingress.running),
-        )
+        return False
 
     async def close(self) -> None:
         """Closes every connection."""
--- a/src/marjoramvalve/mesh/peers.py
+++ b/src/marjoramvalve/mesh/peers.py
@@ -125,8 +125,8 @@
             call.attempt,
             call.head,
             call.body,
-            call.deadline,
-            call.objective_at,
+            call.send_deadline,
+            min(call.objective_at, call.send_deadline),
             call.root_received_at,
             call.rank,
             call.repeatable,
@@ -252,13 +252,14 @@
         self.calls[call.call_id] = call
         self._last_call_id = max(self._last_call_id, call.call_id)
         self.stats.in_flight += 1
+        objective_at = min(call.objective_at, call.send_deadline)
         flags = REPEATABLE if call.repeatable else 0
         flags |= (IS_HEAD if call.is_head else 0) | (IS_SUB_CALL if call.is_sub_call else 0)
         flags |= IS_RETRY if call.is_retry else 0
         meta = REQUEST.pack(
             call.call_id,
-            max(0, int((call.deadline - now) * 1000)),
-            max(0, int((call.objective_at - now) * 1000)),
+            max(0, int((call.send_deadline - now) * 1000)),
+            max(0, int((objective_at - now) * 1000)),
             max(0, int((now - call.root_received_at) * 1000)),
             min(call.rank, 255),
             flags,
--- /dev/null
+++ b/src/marjoramvalve/mesh/stops.py
@@ -0,0 +1,74 @@
+"""Planned stops: which calls a stopping node may still send to an upstream."""
+
+from dataclasses import dataclass
+
+WINDOW_S = 30.0  # Service times count for one to two windows.
+STOPPING_RETRY_AFTER_S = 0.1  # Another node of the service can be tried immediately.
+SUB_CALL_MARGIN = 2.0  # On the slowest recent service time of a route.
+
+
+@dataclass(frozen=True, slots=True)
+class StopSchedule:
+    """The times of a planned stop, in seconds on the event loop's clock.
+
+    Until `serves_until`, callers may not know of the stop yet and are served as usual, as far as
+    their calls can be expected to end before `answers_until`. By then every call is answered.
+    """
+
+    serves_until: float
+    answers_until: float
+
+    def allows(
+        self,
+        now: float,
+        deadline: float,
+        objective_at: float,
+        slowest_s: float | None,
+        is_sub_call: bool,
+    ) -> bool:
+        """Returns whether a call that is sent now will be answered before the node stops.
+
+        `slowest_s` is the longest recent service time of its route in seconds, None if unknown;
+        the objective of the call takes its place. After `serves_until`, a root call is sent only if
+        even its deadline comes before the stop: its caller can send it to another node, whereas
+        refusing a sub-call fails the call that it was made for.
+        """
+        if deadline <= self.answers_until:
+            return True
+        if now < self.serves_until:
+            margin = 1.0
+        elif is_sub_call:
+            margin = SUB_CALL_MARGIN
+        else:
+            return False
+        ends_at = objective_at if slowest_s is None else now + margin * slowest_s
+        return ends_at <= self.answers_until
+
+
+class SlowestRuns:
+    """The longest recent service time of each route."""
+
+    def __init__(self) -> None:
+        self._recent: dict[object, float] = {}
+        self._previous: dict[object, float] = {}
+        self._window_ends_at = 0.0
+
+    def record(self, route: object, service_s: float, now: float) -> None:
+        """Records a service time. Times are in seconds, `now` on the event loop's clock."""
+        self._rotate(now)
+        if service_s > self._recent.get(route, 0.0):
+            self._recent[route] = service_s
+
+    def slowest_s(self, route: object, now: float) -> float | None:
+        """Returns the longest service time of one to two windows in seconds, None if unknown."""
+        self._rotate(now)
+        times = [window[route] for window in (self._recent, self._previous) if route in window]
+        return max(times, default=None)
+
+    def _rotate(self, now: float) -> None:
+        if now < self._window_ends_at:
+            return
+        is_over = now < self._window_ends_at + WINDOW_S
+        self._previous = self._recent if is_over else {}
+        self._recent = {}
+        self._window_ends_at = now + WINDOW_S
