Answer every call in progress when a drain ends

A request that still waited for the rate limiter or for the record of its order when the drain ended, or that ran longer, lost its connection without a response. On a pipelined connection the finished responses behind it were lost as well: closing the callers came first, and the responses of the calls that failed thereafter had nowhere to go.

At the end of a drain each call in progress is answered: as not run if it was not sent, as unknown otherwise. The node waits up to 0.4 s until the responses have been read before it closes.

--- a/src/marjoramvalve/mesh/egress.py
+++ b/src/marjoramvalve/mesh/egress.py
@@ -84,13 +84,6 @@
         """Returns how many calls are in progress."""
         return len(self._active)
 
-    def log_unanswered(self) -> None:
-        """Logs each call in progress, which ends without a response."""
-        for call in self._active:
-            self._responder.log_call(
-                "call.unanswered", call, Reason.STOPPING, "node stops", self.table.version
-            )
-
     # Peers
 
     def set_peers(self, roster: dict[str, tuple[str, str, bool]]) -> None:
@@ -144,6 +137,18 @@
         """Returns the time in seconds after which callers know of the stop."""
         return max(STOPPING_RETRY_AFTER_S, self.stop.serves_until - now)
 
+    def answer_all(self) -> None:
+        """Answers every call in progress: it is refused if it was not sent, and fails otherwise."""
+        for call in list(self._active):
+            if not call.service:
+                self._withdraw_waiting(call)
+                self._refuse_stopping(call)
+            elif call.peer is None or call.call_id not in call.peer.calls:
+                self._refuse(call, Reason.STOPPING, STOPPING_RETRY_AFTER_S, "node stops")
+            else:
+                call.peer.cancel(call, not call.repeatable)
+                self._fail(call, Reason.STOPPING, 502, "node stops")
+
     def _refuse_stopping(self, call: Call) -> None:
         self._refuse_request(
             call.request,
@@ -296,10 +301,14 @@
         standing, _ = self._quarantine.standing(call, self._loop.time())
         return standing is Standing.FREE and self._is_key_valid(call)
 
-    def _refuse_for_rate(self, call: Call, retry_after_s: float) -> None:
+    def _withdraw_waiting(self, call: Call) -> None:
+        """Ends a call that has not got past the rate limiter."""
         call.done = True
         self._active.discard(call)
         self._root_call_admission.give_back(call.target.name)
+
+    def _refuse_for_rate(self, call: Call, retry_after_s: float) -> None:
+        self._withdraw_waiting(call)
         if self._limiter.is_at_limit(call.customer):
             reason, status = Reason.RATE, 429
         else:
@@ -313,9 +322,7 @@
         elif retry_after_s > 0:
             self._refuse_for_rate(call, retry_after_s)
         elif not self._is_key_valid(call):
-            call.done = True
-            self._active.discard(call)
-            self._root_call_admission.give_back(call.target.name)
+            self._withdraw_waiting(call)
             self._limiter.give_back(call.customer)
             self._refuse_request(call.request, Reason.STALE_CONFIG, 503, NO_CONFIG_RETRY_AFTER_S)
         else:
--- a/src/marjoramvalve/mesh/nodes.py
+++ b/src/marjoramvalve/mesh/nodes.py
@@ -23,6 +23,7 @@
 from marjoramvalve.model import Document
 from marjoramvalve.outcomes import Reason
 
+FLUSH_S = 0.4  # After a drain, for the responses to the calls that it has not finished.
 DRAIN_POLL_INTERVAL_S = 0.05  # How often a draining node checks for active calls.
 
 log = structlog.get_logger("node")
@@ -165,7 +166,8 @@
         """Drains the node: serves as usual at first, then only finishes active calls.
 
         The upstream may make sub-calls as long as it runs requests. Returns when no call is active
-        and the egresses have received their outcomes, or after `drain_timeout_s`.
+        and the egresses have received their outcomes. Calls that are still active after
+        `drain_timeout_s` are answered: those that wait are refused, and those that run fail.
         """
         self.stopping = True
         started_at = clock()
@@ -180,13 +182,14 @@
         self.ingress.stop_accepting()
         self.callers.accept_only_local()
         await self._finish_calls(clock, ends_at)
-        self.egress.log_unanswered()
         log.info(
             "node.drained",
             after_s=round(clock() - started_at, 2),
             calls=self.egress.active_calls,
             running=len(self.ingress.running),
         )
+        self.egress.answer_all()
+        await self._finish_calls(clock, ends_at + FLUSH_S)
 
     async def _finish_calls(self, clock: Callable[[], float], until: float) -> bool:
         """Closes connections as their calls end; returns whether all have ended in time."""
