Call queued calls back before a stopping node closes

A call that waited in the queue of another node's ingress when its own node stopped lost its connection, and could still run afterwards: closing the link lost the cancellation, which has no reply.

Before the end of a drain the egress asks the ingresses to refuse what they have not started (frame RECALL). The refusal says that the call will not run, so the caller is told so, in time. A node that does not know the frame ignores it, and the caller hears that the outcome is unknown.

--- a/src/marjoramvalve/mesh/frames.py
+++ b/src/marjoramvalve/mesh/frames.py
@@ -21,6 +21,7 @@
     PING = 8
     PONG = 9
     RESUME = 10
+    RECALL = 11
 
 
 class ErrorCode(IntEnum):
--- a/src/marjoramvalve/mesh/ingress.py
+++ b/src/marjoramvalve/mesh/ingress.py
@@ -497,6 +497,11 @@
         self.pool.cancel(job.exchange)
         self._release(job)
 
+    def recall(self, job: Job) -> None:
+        """Refuses a call that is still queued, because the caller's node stops."""
+        if not job.done and self._queue.remove(job):
+            self._refuse(job, ErrorCode.STOPPING, MIN_RETRY_AFTER_S)
+
     def _refuse(self, job: Job, code: ErrorCode, retry_after_s: float) -> None:
         job.done = True
         job.callbacks.job_refused(job, code, retry_after_s)
--- a/src/marjoramvalve/mesh/nodes.py
+++ b/src/marjoramvalve/mesh/nodes.py
@@ -23,6 +23,7 @@
 from marjoramvalve.model import Document
 from marjoramvalve.outcomes import Reason
 
+RECALL_S = 0.3  # Before the end of a drain, calls that are queued elsewhere are called back.
 FLUSH_S = 0.4  # After a drain, for the responses to the calls that it has not finished.
 DRAIN_POLL_INTERVAL_S = 0.05  # How often a draining node checks for active calls.
 
@@ -181,7 +182,9 @@
         await asyncio.sleep(lame_duck_s)
         self.ingress.stop_accepting()
         self.callers.accept_only_local()
-        await self._finish_calls(clock, ends_at)
+        if not await self._finish_calls(clock, ends_at - RECALL_S):
+            self.egress.peers.recall_queued()
+            await self._finish_calls(clock, ends_at)
         log.info(
             "node.drained",
             after_s=round(clock() - started_at, 2),
--- a/src/marjoramvalve/mesh/sessions.py
+++ b/src/marjoramvalve/mesh/sessions.py
@@ -240,6 +240,10 @@
                 self.ingress.cancel(job, bool(only_waiting))
                 if job.done:
                     session.jobs.pop(call_id, None)
+        elif kind == FrameType.RECALL and session is not None:
+            for (call_id,) in CALL_ID.iter_unpack(payload):
+                if call_id in session.jobs:
+                    self.ingress.recall(session.jobs[call_id])
         elif kind == FrameType.PING:
             stream.send(FrameType.PONG, b"")
         elif kind == FrameType.PONG and session is not None:
