Count each run of a request ID at an ingress

The ingress looked at its table of runs by request ID to see whether its upstream was still running anything. Of two runs with the same ID, sent by two callers, the table holds the later one. When that ended first, a drain took the upstream for idle and cut the other run.

Runs are counted as such; the table by ID only finds the parents of sub-calls.

tests.test_planned_stops...test_drain_waits_for_each_of_two_runs_with_the_same_id failed before (504 instead of 200) and passes.

--- a/src/marjoramvalve/mesh/ingress.py
+++ b/src/marjoramvalve/mesh/ingress.py
@@ -63,7 +63,7 @@
         self._saturation = SaturationEstimator()
         self.running: dict[bytes, Job] = {}
         self._run_stats: dict[str, RunStats] = {}
-        self._running_count = 0
+        self._sent_jobs: set[Job] = set()
         self._crash_detector = CrashDetector()
         self._is_checking_listener = False
         self.upstream_crashes = 0
@@ -118,7 +118,7 @@
     @property
     def load(self) -> tuple[int, int]:
         """Returns the number of running and of queued calls."""
-        return self._running_count, len(self._queue)
+        return len(self._sent_jobs), len(self._queue)
 
     def record_departure(self, instance: str, started_at_ms: int = 0) -> None:
         """Sends nothing more to a run of an upstream that has announced its end.
@@ -205,7 +205,7 @@
         if self._refuse_if_stopping(job, now) or self._refuse_if_quarantined(job, now):
             return
         pacing_delay_s = self.rate_limiter.wait_s(0, now)
-        if self._running_count < self.limit and not pacing_delay_s and not len(self._queue):
+        if len(self._sent_jobs) < self.limit and not pacing_delay_s and not len(self._queue):
             self._start(job, now)
             return
         if not self._enqueue(job, now):
@@ -281,9 +281,9 @@
             lambda detail, kind: self._on_connection_error(job, detail, kind),
         )
         job.head = job.body = b""  # Frees memory: the deadline timer keeps the job alive.
-        self._running_count += 1
+        self._sent_jobs.add(job)
         job.started_at_capacity = self._saturation.is_saturated(
-            self._running_count, self.state.slots
+            len(self._sent_jobs), self.state.slots
         )
         self.running[job.attempt] = job
         self._deadlines.add(job.deadline + DEADLINE_GRACE_S, lambda: self._expire(job))
@@ -333,13 +333,13 @@
 
     def _release(self, job: Job) -> None:
         job.done = True
-        self._running_count -= 1
+        self._sent_jobs.discard(job)
         if self.running.get(job.attempt) is job:
             del self.running[job.attempt]
         self._start_queued()
 
     def _start_queued(self) -> None:
-        while len(self._queue) and self._running_count < self.limit and self.ready:
+        while len(self._queue) and len(self._sent_jobs) < self.limit and self.ready:
             now = self._loop.time()
             wait_s = self.rate_limiter.wait_s(0, now)
             if wait_s > 0:
@@ -365,9 +365,9 @@
             self.set_state(replace(self.state, ready=False))
             self._refuse_sent(job, ErrorCode.NOT_READY, MIN_RETRY_AFTER_S)
         elif response.not_run:
-            self._shed_limit = min(self._shed_limit, self._running_count) * SHED_LIMIT_FACTOR
+            self._shed_limit = min(self._shed_limit, len(self._sent_jobs)) * SHED_LIMIT_FACTOR
             log.info(
-                "upstream.shed", request=job.attempt, running=self._running_count, limit=self.limit
+                "upstream.shed", request=job.attempt, running=len(self._sent_jobs), limit=self.limit
             )
             self._refuse_sent(
                 job, ErrorCode.SHED, MIN_RETRY_AFTER_S + self.service_times.mean_s(job.route)
--- a/src/marjoramvalve/mesh/nodes.py
+++ b/src/marjoramvalve/mesh/nodes.py
@@ -189,7 +189,7 @@
             "node.drained",
             after_s=round(clock() - started_at, 2),
             calls=self.egress.active_calls,
-            running=len(self.ingress.running),
+            running=self.ingress.load[0],
         )
         self.egress.answer_all()
         await self._finish_calls(clock, ends_at + FLUSH_S)
@@ -197,7 +197,7 @@
     async def _finish_calls(self, clock: Callable[[], float], until: float) -> bool:
         """Closes connections as their calls end; returns whether all have ended in time."""
         while clock() < until:
-            is_upstream_running = bool(self.ingress.running)
+            is_upstream_running = self.ingress.load[0] > 0
             self.callers.close_after_pending(keep_upstream=is_upstream_running)
             if not is_upstream_running:
                 self.callers.stop_listening()
