Tell other nodes which runs a stopping node cuts

A run that the upstream of a stopping node had not finished was cut with the links. The caller's node took that for a link that is lost for a while, tried to reach the ingress again and answered at the deadline: in the measured case 504 after 6.9 s, 1.8 s after the cut.

The ingress fails such calls explicitly and waits for the acknowledgement as for any outcome.

--- a/src/marjoramvalve/mesh/ingress.py
+++ b/src/marjoramvalve/mesh/ingress.py
@@ -502,6 +502,15 @@
         if not job.done and self._queue.remove(job):
             self._refuse(job, ErrorCode.STOPPING, MIN_RETRY_AFTER_S)
 
+    def fail_running(self) -> None:
+        """Fails the calls that the upstream is still running when the node stops."""
+        for job in list(self._sent_jobs):
+            log.info("upstream.cut_off", request=job.attempt, instance=self.state.instance)
+            self.pool.cancel(job.exchange)
+            job.done = True
+            job.callbacks.job_failed(job, ErrorCode.STOPPING)
+            self._release(job)
+
     def _refuse(self, job: Job, code: ErrorCode, retry_after_s: float) -> None:
         job.done = True
         job.callbacks.job_refused(job, code, retry_after_s)
--- a/src/marjoramvalve/mesh/nodes.py
+++ b/src/marjoramvalve/mesh/nodes.py
@@ -192,6 +192,7 @@
             running=self.ingress.load[0],
         )
         self.egress.answer_all()
+        self.ingress.fail_running()
         await self._finish_calls(clock, ends_at + FLUSH_S)
 
     async def _finish_calls(self, clock: Callable[[], float], until: float) -> bool:
