Close links only when their egresses know of the stop

An ingress that was idle at the end of the lame duck phase closed its links in the moment in which it told the egresses that it takes no more calls. A call that was sent in that moment was lost with the link: it had never run, and its caller was told at its deadline that the outcome is unknown.

The drain waits until each egress that responds has answered a ping that was sent after the news. Frames keep their order, so all its calls have arrived by then, and no more follow.

--- a/src/marjoramvalve/mesh/sessions.py
+++ b/src/marjoramvalve/mesh/sessions.py
@@ -57,6 +57,8 @@
         self.outcomes = OutcomeStore(last_call_id)
         self._server = server
         self._pinged_after: int | None = None  # Transmissions before the unanswered ping.
+        self._is_stop_in_ping = False  # The ping was sent after the news that the ingress stops.
+        self._knows_of_stop = False
 
     def attach(self, stream: FrameStream) -> None:
         """Uses a new stream."""
@@ -74,11 +76,17 @@
         if self.stream is not None:
             self.stream.send(kind, payload)
 
+    @property
+    def is_acknowledged(self) -> bool:
+        """Returns whether the egress has received all outcomes, and the news of a stop."""
+        return not self.outcomes and (self._knows_of_stop or not self._server.ingress.stopping)
+
     def request_acknowledgement(self) -> None:
-        """Pings the egress if there are outcomes that it has not acknowledged."""
-        if self.stream is None or self._pinged_after is not None or not self.outcomes:
+        """Pings the egress if there is something that it has not acknowledged."""
+        if self.stream is None or self._pinged_after is not None or self.is_acknowledged:
             return
         self._pinged_after = self.outcomes.transmissions
+        self._is_stop_in_ping = self._server.ingress.stopping
         self.stream.send(FrameType.PING, b"")
 
     def on_pong(self) -> None:
@@ -86,6 +94,7 @@
         if self._pinged_after is not None:
             self.outcomes.acknowledge(self._pinged_after)
             self._pinged_after = None
+            self._knows_of_stop = self._is_stop_in_ping
 
     def _error_payload(self, call_id: int, code: ErrorCode, retry_after_s: float) -> bytes:
         running, waiting = self._server.ingress.load
@@ -154,6 +163,7 @@
         self._service = service
         self.incarnation = incarnation
         self._sessions: dict[int, Session] = {}
+        self._asked_at: float | None = None  # When acknowledgements were first waited for.
         self._sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self._sweep_sessions)
 
     def close(self) -> None:
@@ -164,14 +174,20 @@
                 session.stream.close()
 
     def has_unacknowledged(self) -> bool:
-        """Returns whether an egress that responds has not acknowledged all outcomes; asks it to."""
+        """Returns whether an egress that responds has not acknowledged everything; asks it to.
+
+        An egress that has acknowledged the stop sends no more requests, and all those that it sent
+        before have arrived.
+        """
         now = self.loop.time()
+        if self._asked_at is None:
+            self._asked_at = now
         waiting = [
             session
             for session in self._sessions.values()
             if session.stream is not None
-            and session.outcomes
-            and now < session.stream.last_received_at + SILENCE_S
+            and not session.is_acknowledged
+            and now < max(session.stream.last_received_at, self._asked_at) + SILENCE_S
         ]
         for session in waiting:
             session.request_acknowledgement()
