Leave half of a short drain for finishing calls

With a grace period that is shorter than the lame duck phase, the node served as usual until it closed, or longer, and finished nothing. The lame duck phase takes half of the drain at most.

tests.test_planned_stops...test_drain_timeout_ends_a_longer_lame_duck_phase failed before and passes.

--- a/src/marjoramvalve/mesh/nodes.py
+++ b/src/marjoramvalve/mesh/nodes.py
@@ -173,7 +173,7 @@
         self.stopping = True
         started_at = clock()
         ends_at = started_at + self.options.drain_timeout_s
-        lame_duck_s = self.options.lame_duck_s
+        lame_duck_s = min(self.options.lame_duck_s, self.options.drain_timeout_s / 2)
         now = asyncio.get_running_loop().time()
         stop = StopSchedule(now + lame_duck_s, now + self.options.drain_timeout_s)
         self.egress.stop = self.ingress.stop = stop
