Let a second drain wait for the first one

A second call of drain began a new drain with later times, and calls were sent that outlasted the first one. The processes call it once, whatever signals come; callers of the class could not rely on it.

--- a/src/marjoramvalve/mesh/nodes.py
+++ b/src/marjoramvalve/mesh/nodes.py
@@ -94,6 +94,7 @@
         self._responder = LocalResponder(self.egress.metrics, rng)
         self._listener = Listener(self.sessions)
         self.stopping = False
+        self._drained = asyncio.Event()
 
     def _handle(self, request: IncomingRequest) -> None:
         """Passes a request to the egress, which decides whether there is time for it in a drain.
@@ -169,7 +170,11 @@
         The upstream may make sub-calls as long as it runs requests. Returns when no call is active
         and the egresses have received their outcomes. Calls that are still active after
         `drain_timeout_s` are answered: those that wait are refused, and those that run fail.
+        A second drain waits for the first one.
         """
+        if self.stopping:
+            await self._drained.wait()
+            return
         self.stopping = True
         started_at = clock()
         ends_at = started_at + self.options.drain_timeout_s
@@ -194,6 +199,7 @@
         self.egress.answer_all()
         self.ingress.fail_running()
         await self._finish_calls(clock, ends_at + FLUSH_S)
+        self._drained.set()
 
     async def _finish_calls(self, clock: Callable[[], float], until: float) -> bool:
         """Closes connections as their calls end; returns whether all have ended in time."""
