Report a deadline as such when a drain ends with it

Timers of deadlines may be 20 ms late. A call whose deadline had passed by that when its node's drain ended was answered 502, as if the node had cut it, instead of 504. The new test failed before.

--- a/src/marjoramvalve/mesh/egress.py
+++ b/src/marjoramvalve/mesh/egress.py
@@ -139,8 +139,11 @@
 
     def answer_all(self) -> None:
         """Answers every call in progress: it is refused if it was not sent, and fails otherwise."""
+        now = self._loop.time()
         for call in list(self._active):
-            if not call.service:
+            if now >= call.deadline and call.service:
+                self._expire(call)  # Its timer may be a little late.
+            elif not call.service:
                 self._withdraw_waiting(call)
                 self._refuse_stopping(call)
             elif call.peer is None or call.call_id not in call.peer.calls:
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -9,6 +9,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from marjoramvalve.mesh.timers import RESOLUTION_S
 from marjoramvalve.model import key_digest, validate_document
 from tests.meshes import (
     API_KEY,
@@ -320,6 +321,27 @@
         self.assertEqual(second, [200, b"a2"])
 
 
+class DeadlineTests(StopTestCase):
+    """Requests whose deadline comes when a drain ends."""
+
+    def test_deadline_just_before_the_end_is_reported_as_such(self):
+        async def scenario():
+            doc = make_document(order={"deadline_ms": 1010, "objective_ms": 1010})
+            caller = await self.connect_pair(respond_after(asyncio.Event()), doc=doc)
+            loop = asyncio.get_running_loop()
+            await asyncio.sleep(1.0 - loop.time() % RESOLUTION_S)
+            caller.send("/order/", "a1", method="POST")
+            await self.wait_for_requests()
+            egress = self.bench.nodes[0].egress
+            (call,) = egress._active
+            await asyncio.sleep(call.deadline + 0.001 - loop.time())
+            was_done = call.done
+            egress.answer_all()
+            return was_done, await read_outcome(caller)
+
+        self.assertEqual(self.bench.run(scenario()), (False, 504))
+
+
 class RunsForOtherNodesTests(StopTestCase):
     """Runs for callers of other nodes at the upstream of a stopping node."""
 
