Answer operators' requests that a stopping controller has read

Cause: the controller closed its control interface at once, while a publication waited for its quorum and disk, a read for a leader, or a request for the rest of its body.

CallerServer.finish_pending stops listening, closes idle connections and the others after the response to their last request, and returns once none is busy, or after a time limit.

--- a/src/marjoramvalve/h1/servers.py
+++ b/src/marjoramvalve/h1/servers.py
@@ -11,6 +11,7 @@
 
 BACKLOG = 1024
 TIMEOUT_CHECK_INTERVAL_S = 0.5  # Timeouts of callers may fire this much late.
+FINISH_POLL_INTERVAL_S = 0.05  # How often a finishing server checks for pending requests.
 MAX_UNSENT_BYTES_IN_TOTAL = 64 << 20  # Above it, the callers with most of them are disconnected.
 
 
@@ -93,6 +94,21 @@
         now = self.loop.time()
         return any(conn.is_busy(now) for conn in self.connections)
 
+    async def finish_pending(self, timeout_s: float) -> None:
+        """Stops listening, and closes each connection after the response to its last request.
+
+        A request that has begun to arrive is still read, unless it stalls. Returns once no
+        connection is busy, or after `timeout_s`; `close` then closes those that are left.
+        """
+        deadline = self.loop.time() + timeout_s
+        self.stop_listening()
+        self.close_after_pending()
+        await asyncio.sleep(0)  # Lets connections that were just accepted register.
+        self.close_after_pending()
+        while self.is_busy() and self.loop.time() < deadline:
+            await asyncio.sleep(FINISH_POLL_INTERVAL_S)
+            self.close_after_pending()
+
     async def close(self) -> None:
         """Stops listening and closes all connections."""
         self.stop_listening()
--- /dev/null
+++ b/tests/test_program_stops.py
@@ -0,0 +1,142 @@
+"""Planned stops of the platform's programs: what was read is answered, or refused in time."""
+
+import asyncio
+import json
+import os
+import sys
+import tempfile
+import threading
+import unittest
+from pathlib import Path
+
+import uvloop
+
+sys.path.append(str(Path(__file__).resolve().parent.parent / "platform"))
+
+from adapter.programs import ControllerProgram  # noqa: E402
+from adapter.settings import load_settings  # noqa: E402
+
+from marjoramvalve.telemetry import set_up_logs  # noqa: E402
+from tests.meshes import Caller  # noqa: E402
+from tests.platform_fleet import CONTROL_PORT, address, config, settings_file  # noqa: E402
+
+NUMBER = 21
+
+
+class ProgramStopTestCase(unittest.TestCase):
+    """Base class of tests that stop a program while its control interface is called."""
+
+    def setUp(self):
+        set_up_logs("critical", "test")
+        self.runner = asyncio.Runner(loop_factory=uvloop.new_event_loop)
+        self.addCleanup(self.runner.close)
+        data_dir = tempfile.TemporaryDirectory()
+        self.addCleanup(data_dir.cleanup)
+        self.data_dir = data_dir.name
+
+    def load_settings(self, kind, service=None, seeds=(NUMBER,), **bounds):
+        """Returns the settings of the program. `bounds` replace those of the platform."""
+        settings = settings_file(kind, NUMBER, self.data_dir, service, seeds=seeds)
+        settings["bounds"] |= bounds
+        with tempfile.NamedTemporaryFile("w") as file:
+            json.dump(settings, file)
+            file.flush()
+            os.environ["MARJORAMVALVE_SETTINGS"] = file.name
+            self.addCleanup(os.environ.pop, "MARJORAMVALVE_SETTINGS", None)
+            return load_settings()
+
+    def run_bounded(self, coro):
+        """Runs a coroutine; raises TimeoutError after 30 seconds."""
+
+        async def bounded():
+            async with asyncio.timeout(30):
+                return await coro
+
+        return self.runner.run(bounded())
+
+    async def call(self, method, path, body=b"", headers="", cut=0):
+        """Sends a request without its last `cut` bytes; returns the caller."""
+        caller = Caller(*await asyncio.open_connection(address(NUMBER), CONTROL_PORT))
+        head = f"{method} {path} HTTP/1.1\r\nHost: a\r\n{headers}"
+        head += f"Content-Length: {len(body)}\r\n\r\n"
+        caller.writer.write((head.encode() + body)[: -cut or None])
+        return caller
+
+    async def read_status(self, caller):
+        """Returns the status of a response, and None where the connection ends without it."""
+        try:
+            status = (await caller.read_response())[0]
+        except (ConnectionError, asyncio.IncompleteReadError):
+            status = None
+        caller.writer.close()
+        return status
+
+    async def wait_until(self, condition):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+    async def start_stop(self, program):
+        """Starts to stop a program and waits until its control interface takes no connections."""
+        task = asyncio.create_task(program.stop())
+        await self.wait_until(lambda: not program._control._server.is_serving())
+        return task
+
+
+class ControllerStopTests(ProgramStopTestCase):
+    """Requests of operators at a controller that stops."""
+
+    async def start_program(self, **settings):
+        program = ControllerProgram(self.load_settings("core", **settings))
+        await program.start()
+        return program
+
+    async def publish(self, program):
+        """Returns a caller whose configuration waits for the disk, and a function to go on."""
+        group = program.controller.group
+        await self.wait_until(group.is_leader)
+        blocked = threading.Event()
+        self.addCleanup(blocked.set)
+        group._disk_executor.submit(blocked.wait)
+        headers = "X-Base-Version: 00000000\r\n"
+        caller = await self.call("POST", "/config/put", config("00000001"), headers)
+        await self.wait_until(lambda: group._pending_proposals)
+        return caller, blocked.set
+
+    def test_publication_in_progress_is_acknowledged(self):
+        async def play():
+            program = await self.start_program()
+            caller, unblock = await self.publish(program)
+            stop = await self.start_stop(program)
+            unblock()
+            status = await self.read_status(caller)
+            await stop
+            return status, program.controller.group.state.version
+
+        self.assertEqual(self.run_bounded(play()), (200, 1))
+
+    def test_read_that_waits_for_a_leader_is_answered(self):
+        async def play():
+            program = await self.start_program(seeds=(NUMBER, NUMBER + 1, NUMBER + 2))
+            caller = await self.call("GET", "/config/get")
+            await self.wait_until(lambda: program._tasks)
+            stop = await self.start_stop(program)
+            status = await self.read_status(caller)
+            await stop
+            return status
+
+        self.assertEqual(self.run_bounded(play()), 503)
+
+    def test_configuration_that_was_received_in_part_is_read_and_answered(self):
+        async def play():
+            program = await self.start_program()
+            await self.wait_until(program.controller.is_leader)
+            body, headers = config("00000001"), "X-Base-Version: 00000000\r\n"
+            caller = await self.call("POST", "/config/put", body, headers, cut=9)
+            await self.wait_until(program._control.is_busy)
+            stop = await self.start_stop(program)
+            caller.writer.write(body[-9:])
+            status = await self.read_status(caller)
+            await stop
+            return status
+
+        self.assertEqual(self.run_bounded(play()), 200)
