Leave most of a short grace period for finishing

Cause: the phase and the margin at the end were constants.

The phases of a stop are planned from the grace period in adapter.stops. With 6 s or more they are as before. Below, at least three quarters of the time before the margin, or 2.5 s, are for finishing, and the margin is at most 0.15 of the grace period, so that calls may take until its last sixth.

Evidence: test_program_stops.NodeStopTests with a grace period of 2 s fails on the parent (the connection ends without a response) and passes now.

--- a/tests/test_program_stops.py
+++ b/tests/test_program_stops.py
@@ -13,12 +13,24 @@
 
 sys.path.append(str(Path(__file__).resolve().parent.parent / "platform"))
 
-from adapter.programs import ControllerProgram  # noqa: E402
+from adapter.documents import parse_config  # noqa: E402
+from adapter.programs import ControllerProgram, NodeProgram  # noqa: E402
 from adapter.settings import load_settings  # noqa: E402
+from adapter.stops import LAME_DUCK_S, plan_stop  # noqa: E402
 
+from marjoramvalve.fleet.states import unpack_document  # noqa: E402
 from marjoramvalve.telemetry import set_up_logs  # noqa: E402
-from tests.meshes import Caller  # noqa: E402
-from tests.platform_fleet import CONTROL_PORT, address, config, settings_file  # noqa: E402
+from tests.meshes import Caller, FakeUpstream  # noqa: E402
+from tests.platform_fleet import (  # noqa: E402
+    CONTROL_PORT,
+    UPSTREAM_PORT,
+    address,
+    call_node,
+    config,
+    heartbeat,
+    send_request,
+    settings_file,
+)
 
 NUMBER = 21
 
@@ -54,7 +66,7 @@
 
         return self.runner.run(bounded())
 
-    async def call(self, method, path, body=b"", headers="", cut=0):
+    async def send(self, method, path, body=b"", headers="", cut=0):
         """Sends a request without its last `cut` bytes; returns the caller."""
         caller = Caller(*await asyncio.open_connection(address(NUMBER), CONTROL_PORT))
         head = f"{method} {path} HTTP/1.1\r\nHost: a\r\n{headers}"
@@ -98,7 +110,7 @@
         self.addCleanup(blocked.set)
         group._disk_executor.submit(blocked.wait)
         headers = "X-Base-Version: 00000000\r\n"
-        caller = await self.call("POST", "/config/put", config("00000001"), headers)
+        caller = await self.send("POST", "/config/put", config("00000001"), headers)
         await self.wait_until(lambda: group._pending_proposals)
         return caller, blocked.set
 
@@ -117,7 +129,7 @@
     def test_read_that_waits_for_a_leader_is_answered(self):
         async def play():
             program = await self.start_program(seeds=(NUMBER, NUMBER + 1, NUMBER + 2))
-            caller = await self.call("GET", "/config/get")
+            caller = await self.send("GET", "/config/get")
             await self.wait_until(lambda: program._tasks)
             stop = await self.start_stop(program)
             status = await self.read_status(caller)
@@ -131,7 +143,7 @@
             program = await self.start_program()
             await self.wait_until(program.controller.is_leader)
             body, headers = config("00000001"), "X-Base-Version: 00000000\r\n"
-            caller = await self.call("POST", "/config/put", body, headers, cut=9)
+            caller = await self.send("POST", "/config/put", body, headers, cut=9)
             await self.wait_until(program._control.is_busy)
             stop = await self.start_stop(program)
             caller.writer.write(body[-9:])
@@ -140,3 +152,79 @@
             return status
 
         self.assertEqual(self.run_bounded(play()), 200)
+
+
+class NodeStopTests(ProgramStopTestCase):
+    """Requests of callers at a node that stops."""
+
+    async def start_program(self, **bounds):
+        """Starts a node whose upstream responds to requests once `self.released` is set."""
+        self.released = asyncio.Event()
+        self.upstream = FakeUpstream(self.respond)
+        self.upstream.address = f"{address(NUMBER)}:{UPSTREAM_PORT}"
+        await self.upstream.start()
+        program = NodeProgram(self.load_settings("side", "s1", **bounds))
+        program.node.egress.is_config_confirmed = lambda: True
+        await program.start()
+        route = {"timeoutMs": 20_000, "split": [{"service": "s1", "weight": 1}]}
+        command = parse_config(config("00000001", path=route), 0).value
+        program.node.apply_config(1, unpack_document(command.document))
+        path = "/instances/i-1/heartbeat"
+        await send_request(NUMBER, CONTROL_PORT, "POST", path, heartbeat())
+        return program
+
+    async def respond(self, request, writer):
+        if "GET /a/" in request:
+            await self.released.wait()
+        head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a-1\r\nX-Instance-Id: i-1\r\n"
+        head += "X-Server-Load: 0,0,5\r\nX-Server-Stamp: a-1\r\nContent-Length: 0\r\n\r\n"
+        writer.write(head.encode())
+
+    async def call(self):
+        """Returns the status of a call, and None where its connection ends without a response."""
+        try:
+            return (await call_node(NUMBER, "/a/x", "a-1", key="k3", deadline_ms=20_000))[0]
+        except (ConnectionError, asyncio.IncompleteReadError):
+            return None
+
+    def answer_after_lame_duck(self, **bounds):
+        """Returns the status of a call that ends after the lame duck phase."""
+
+        async def play():
+            program = await self.start_program(**bounds)
+            call = asyncio.create_task(self.call())
+            await self.wait_until(lambda: any("GET /a/" in r for r in self.upstream.requests))
+            stop = asyncio.create_task(program.stop())
+            await self.wait_until(lambda: program.node.callers.accepts_only_local)
+            self.released.set()
+            status = await call
+            await stop
+            self.upstream.close()
+            return status
+
+        return self.run_bounded(play())
+
+    def test_call_is_answered_though_the_grace_period_is_short(self):
+        self.assertEqual(self.answer_after_lame_duck(graceS=2), 200)
+
+
+class StopTimesTests(unittest.TestCase):
+    """The phases of a stop."""
+
+    def test_short_grace_period_leaves_most_of_the_time_for_finishing(self):
+        for grace_s in (0.0, 0.5, 1.0, 2.0, 3.0, 4.0):
+            with self.subTest(grace_s):
+                times = plan_stop(grace_s)
+                self.assertLessEqual(0.0, times.lame_duck_s)
+                self.assertLessEqual(times.lame_duck_s, times.finish_s / 3)
+
+    def test_calls_may_take_until_the_last_sixth_of_the_grace_period(self):
+        for grace_s in (0.5, 2.0, 6.0, 10.0, 30.0):
+            with self.subTest(grace_s):
+                times = plan_stop(grace_s)
+                self.assertGreater(times.finish_s, grace_s * 5 / 6)
+                self.assertLess(times.finish_s, grace_s)
+
+    def test_callers_have_time_to_notice_the_stop(self):
+        for grace_s in (6.0, 10.0, 30.0):
+            self.assertAlmostEqual(plan_stop(grace_s).lame_duck_s, LAME_DUCK_S)
