Refuse operators' requests that a stopping controller can't finish

So did a request of which the rest arrived only then.

Cause: the controller closed its connections without ending the handlers of their requests.

When the time to finish is over, the handlers are cancelled, and what they have not answered gets 503: the operator asks another controller, and sends a change again, whose outcome is unknown. Requests that are read whole later get 503 at once.

--- a/tests/test_program_stops.py
+++ b/tests/test_program_stops.py
@@ -8,6 +8,7 @@
 import threading
 import unittest
 from pathlib import Path
+from unittest import mock
 
 import uvloop
 
@@ -16,7 +17,7 @@
 from adapter.documents import parse_config  # noqa: E402
 from adapter.programs import ControllerProgram, NodeProgram  # noqa: E402
 from adapter.settings import load_settings  # noqa: E402
-from adapter.stops import LAME_DUCK_S, plan_stop  # noqa: E402
+from adapter.stops import LAME_DUCK_S, StopTimes, plan_stop  # noqa: E402
 
 from marjoramvalve.fleet.states import unpack_document  # noqa: E402
 from marjoramvalve.telemetry import set_up_logs  # noqa: E402
@@ -126,6 +127,56 @@
 
         self.assertEqual(self.run_bounded(play()), (200, 1))
 
+    def set_stop_times(self, finish_s):
+        """Lets a program finish work for `finish_s`, and refuse what is left without haste."""
+        times = StopTimes(0.0, finish_s, 20.0)
+        patch = mock.patch("adapter.programs.plan_stop", return_value=times)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def test_publication_that_does_not_end_in_time_is_refused(self):
+        async def play():
+            self.set_stop_times(0.1)
+            program = await self.start_program()
+            caller, _ = await self.publish(program)
+            status, _ = await asyncio.gather(self.read_status(caller), program.stop())
+            return status
+
+        self.assertEqual(self.run_bounded(play()), 503)
+
+    def test_request_that_is_read_whole_too_late_is_refused(self):
+        async def play():
+            self.set_stop_times(0.1)
+            program = await self.start_program()
+            body, headers = config("00000001"), "X-Base-Version: 00000000\r\n"
+            waiting, _ = await self.publish(program)
+            late = await self.send("POST", "/config/put", body, headers, cut=9)
+            await self.wait_until(lambda: len(program._control.connections) == 2)
+            stop = asyncio.create_task(program.stop())
+            statuses = [await self.read_status(waiting)]
+            late.writer.write(body[-9:])
+            statuses.append(await self.read_status(late))
+            await stop
+            return statuses
+
+        self.assertEqual(self.run_bounded(play()), [503, 503])
+
+    def test_request_whose_handler_has_not_begun_in_time_is_refused(self):
+        async def play():
+            program = await self.start_program()
+
+            def serve(request):
+                program._serve_control(request)
+                for task in program._tasks:
+                    task.cancel()
+
+            program._control.handler = serve
+            status = await self.read_status(await self.send("GET", "/config/get"))
+            await program.stop()
+            return status
+
+        self.assertEqual(self.run_bounded(play()), 503)
+
     def test_read_that_waits_for_a_leader_is_answered(self):
         async def play():
             program = await self.start_program(seeds=(NUMBER, NUMBER + 1, NUMBER + 2))
@@ -223,7 +274,8 @@
             with self.subTest(grace_s):
                 times = plan_stop(grace_s)
                 self.assertGreater(times.finish_s, grace_s * 5 / 6)
-                self.assertLess(times.finish_s, grace_s)
+                self.assertLess(times.finish_s, times.close_s)
+                self.assertLess(times.close_s, grace_s)
 
     def test_callers_have_time_to_notice_the_stop(self):
         for grace_s in (6.0, 10.0, 30.0):
