--- a/tests/test_program_stops.py
+++ b/tests/test_program_stops.py
@@ -24,6 +24,8 @@
 from tests.meshes import Caller, FakeUpstream  # noqa: E402
 from tests.platform_fleet import (  # noqa: E402
     CONTROL_PORT,
+    METRICS_PORT,
+    READY_PORT,
     UPSTREAM_PORT,
     address,
     call_node,
@@ -67,9 +69,9 @@
 
         return self.runner.run(bounded())
 
-    async def send(self, method, path, body=b"", headers="", cut=0):
+    async def send(self, method, path, body=b"", headers="", cut=0, port=CONTROL_PORT):
         """Sends a request without its last `cut` bytes; returns the caller."""
-        caller = Caller(*await asyncio.open_connection(address(NUMBER), CONTROL_PORT))
+        caller = Caller(*await asyncio.open_connection(address(NUMBER), port))
         head = f"{method} {path} HTTP/1.1\r\nHost: a\r\n{headers}"
         head += f"Content-Length: {len(body)}\r\n\r\n"
         caller.writer.write((head.encode() + body)[: -cut or None])
@@ -255,6 +257,37 @@
 
         return self.run_bounded(play())
 
+    def answer_to_late_end(self, port, path, body):
+        """Returns the status of a request of which the last byte comes at the end of the stop."""
+
+        async def play():
+            program = NodeProgram(self.load_settings("side", "s1"))
+            program.node.drain = mock.AsyncMock()
+            run = asyncio.create_task(program.run())
+            await self.wait_until(lambda: program._metrics._server is not None)
+            servers = {CONTROL_PORT: program._control, READY_PORT: program._ready}
+            server = servers.get(port, program._metrics)
+            caller = await self.send("POST", path, body, cut=1, port=port)
+            await self.wait_until(server.is_busy)
+            program.stopping.set()
+            await self.wait_until(lambda: not server._server.is_serving())
+            caller.writer.write(body[-1:])
+            status = await self.read_status(caller)
+            await run
+            return status
+
+        return self.run_bounded(play())
+
+    def test_deregistration_that_was_received_in_part_is_acknowledged(self):
+        path = "/instances/i-1/deregister"
+        self.assertEqual(self.answer_to_late_end(CONTROL_PORT, path, b'{"born":1000}'), 200)
+
+    def test_ready_check_that_was_received_in_part_is_answered(self):
+        self.assertEqual(self.answer_to_late_end(READY_PORT, "/readyz", b"{}"), 503)
+
+    def test_read_of_metrics_that_was_received_in_part_is_answered(self):
+        self.assertEqual(self.answer_to_late_end(METRICS_PORT, "/metrics", b"{}"), 200)
+
     def test_call_is_answered_though_the_grace_period_is_short(self):
         self.assertEqual(self.answer_after_lame_duck(graceS=2), 200)
 
