--- a/tests/test_program_stops.py
+++ b/tests/test_program_stops.py
@@ -288,6 +288,20 @@
     def test_read_of_metrics_that_was_received_in_part_is_answered(self):
         self.assertEqual(self.answer_to_late_end(METRICS_PORT, "/metrics", b"{}"), 200)
 
+    def test_grace_period_of_reloaded_settings_binds(self):
+        async def play():
+            program = NodeProgram(self.load_settings("side", "s1", graceS=6))
+            with mock.patch("adapter.programs.load_settings") as load:
+                load.return_value = self.load_settings("side", "s1", graceS=2)
+                program._reload()
+            program.node.drain = mock.AsyncMock()
+            await program.stop()
+            return program.node.options
+
+        options, times = self.run_bounded(play()), plan_stop(2)
+        self.assertEqual(options.drain_timeout_s, times.finish_s)
+        self.assertEqual(options.lame_duck_s, times.lame_duck_s)
+
     def test_call_is_answered_though_the_grace_period_is_short(self):
         self.assertEqual(self.answer_after_lame_duck(graceS=2), 200)
 
