Keep resending the ends of orders while a node stops

When a node stopped while no leader was known, the outcome of an order with a key that it had just answered or refused was not recorded: the caller's repeat would get 409 in place of the stored answer, or of another attempt (found by reading).

Cause: the node left as soon as its calls were answered, and the ends of orders are resent, every 0.3 s, only while it runs.

ControlPlaneClient.finish_orders waits until the leader has confirmed them, at most until the connections close. Without unconfirmed ends it returns at once.

--- a/src/marjoramvalve/fleet/control_plane_clients.py
+++ b/src/marjoramvalve/fleet/control_plane_clients.py
@@ -139,6 +139,12 @@
         lease_s = self.options.lease_s * (1 - LEASE_MARGIN)
         return self._clock() < self._confirmed_at + lease_s
 
+    async def finish_orders(self, timeout_s: float) -> None:
+        """Returns once the leader has confirmed the end of every order, or after `timeout_s`."""
+        deadline = self._clock() + timeout_s
+        while len(self.orders) and self._clock() < deadline:
+            await asyncio.sleep(TICK_INTERVAL_S)
+
     def leave(self) -> None:
         """Reports to the controllers that this node is stopping."""
         self.leaving = True
--- a/tests/test_program_stops.py
+++ b/tests/test_program_stops.py
@@ -19,7 +19,9 @@
 from adapter.settings import load_settings  # noqa: E402
 from adapter.stops import LAME_DUCK_S, StopTimes, plan_stop  # noqa: E402
 
+from marjoramvalve.fleet.messages import OrderReply  # noqa: E402
 from marjoramvalve.fleet.states import unpack_document  # noqa: E402
+from marjoramvalve.idempotency import Order, OrderOutcome, OrderVerdict  # noqa: E402
 from marjoramvalve.telemetry import set_up_logs  # noqa: E402
 from tests.meshes import Caller, FakeUpstream  # noqa: E402
 from tests.platform_fleet import (  # noqa: E402
@@ -288,6 +290,36 @@
     def test_read_of_metrics_that_was_received_in_part_is_answered(self):
         self.assertEqual(self.answer_to_late_end(METRICS_PORT, "/metrics", b"{}"), 200)
 
+    def stop_with_unconfirmed_order(self, close_s, *confirmations):
+        """Stops a node while no leader replies; returns how often the end of an order was sent.
+
+        The owners of `confirmations` are confirmed once the end has been sent twice.
+        """
+
+        async def play():
+            program = await self.start_program()
+            program.node.drain = mock.AsyncMock()
+            orders, ends = program.control_plane.orders, []
+            orders._send = lambda kind, payload: ends.append(kind) or True
+            orders.finish(Order(b"scope", b"digest", b"owner"), b"answer")
+            times = StopTimes(0.0, 0.0, close_s)
+            with mock.patch("adapter.programs.plan_stop", return_value=times):
+                stop = asyncio.create_task(program.stop())
+                await self.wait_until(lambda: len(ends) > 1 or stop.done())
+                for owner in confirmations:
+                    orders.on_reply(OrderReply(owner, OrderOutcome(OrderVerdict.ENDED)))
+                await stop
+            self.upstream.close()
+            return len(ends)
+
+        return self.run_bounded(play())
+
+    def test_end_of_an_order_is_resent_until_a_leader_has_recorded_it(self):
+        self.assertGreater(self.stop_with_unconfirmed_order(1000.0, b"owner"), 1)
+
+    def test_stop_ends_though_no_leader_records_the_end_of_an_order(self):
+        self.assertGreater(self.stop_with_unconfirmed_order(0.5), 0)
+
     def test_grace_period_of_reloaded_settings_binds(self):
         async def play():
             program = NodeProgram(self.load_settings("side", "s1", graceS=6))
