Reply to the orders that a stopping leader has begun to record

A node whose order was being recorded when the leading controller stopped got no reply, though the record might be in place, and refused the order (found by reading).

Cause: the controller closed at once, and the commits in progress ended without an outcome.

Controller.finish_orders takes no more orders, waits for those in progress, and sends their replies before the controller closes.

Evidence: test_program_stops.ControllerStopTests. test_order_that_waits_for_the_disk_is_recorded_and_later_ones_are_not fails on the parent (no reply) and passes now.

--- a/src/marjoramvalve/fleet/controllers.py
+++ b/src/marjoramvalve/fleet/controllers.py
@@ -124,6 +124,11 @@
             "controller.start", name=self.group.identity.name, version=self.group.state.version
         )
 
+    async def finish_orders(self, timeout_s: float) -> None:
+        """Takes no more orders, and replies to those in progress; returns after `timeout_s`."""
+        await self._orders.finish(timeout_s)
+        await asyncio.sleep(0)  # Sends the replies.
+
     async def close(self) -> None:
         """Stops the controller and closes its links."""
         if self._task is not None:
--- a/src/marjoramvalve/fleet/orders.py
+++ b/src/marjoramvalve/fleet/orders.py
@@ -38,6 +38,7 @@
         self._clock_offset_s = 0.0
         self._retention_s = 0.0
         self._tasks: set[asyncio.Task] = set()
+        self._is_finishing = False
 
     def set_retention(self, retention_s: float) -> None:
         """Sets how long records are kept, in seconds."""
@@ -68,8 +69,17 @@
         command = WithdrawOrder(order) if answer is None else FinishOrder(order, answer)
         self._start_commit(self._commit(stream, order, encode_order_command(command)))
 
+    async def finish(self, timeout_s: float) -> None:
+        """Waits until the commits in progress are done, or for `timeout_s`.
+
+        New commands are dropped; nodes resend them to the next leader.
+        """
+        self._is_finishing = True
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=timeout_s)
+
     def _start_commit(self, coro) -> None:
-        if len(self._tasks) >= MAX_PENDING_COMMITS:
+        if self._is_finishing or len(self._tasks) >= MAX_PENDING_COMMITS:
             coro.close()
             return
         task = asyncio.create_task(coro)
--- a/tests/test_program_stops.py
+++ b/tests/test_program_stops.py
@@ -19,7 +19,7 @@
 from adapter.settings import load_settings  # noqa: E402
 from adapter.stops import LAME_DUCK_S, StopTimes, plan_stop  # noqa: E402
 
-from marjoramvalve.fleet.messages import OrderReply  # noqa: E402
+from marjoramvalve.fleet.messages import FrameKind, OrderBegin, OrderReply, encode  # noqa: E402
 from marjoramvalve.fleet.states import unpack_document  # noqa: E402
 from marjoramvalve.idempotency import Order, OrderOutcome, OrderVerdict  # noqa: E402
 from marjoramvalve.telemetry import set_up_logs  # noqa: E402
@@ -111,13 +111,18 @@
         """Returns a caller whose configuration waits for the disk, and a function to go on."""
         group = program.controller.group
         await self.wait_until(group.is_leader)
-        blocked = threading.Event()
-        self.addCleanup(blocked.set)
-        group._disk_executor.submit(blocked.wait)
+        unblock = self.block_disk(group)
         headers = "X-Base-Version: 00000000\r\n"
         caller = await self.send("POST", "/config/put", config("00000001"), headers)
         await self.wait_until(lambda: group._pending_proposals)
-        return caller, blocked.set
+        return caller, unblock
+
+    def block_disk(self, group):
+        """Blocks writes of the group; returns a function that unblocks them."""
+        unblocked = threading.Event()
+        self.addCleanup(unblocked.set)
+        group._disk_executor.submit(unblocked.wait)
+        return unblocked.set
 
     def test_publication_in_progress_is_acknowledged(self):
         async def play():
@@ -138,6 +143,34 @@
         patch.start()
         self.addCleanup(patch.stop)
 
+    def test_order_that_waits_for_the_disk_is_recorded_and_later_ones_are_not(self):
+        async def play():
+            program = await self.start_program()
+            group, stream = program.controller.group, mock.Mock()
+            await self.wait_until(group.is_leader)
+            unblock = self.block_disk(group)
+            self.send_order(program, stream, b"first")
+            finish, finishing = program._control.finish_pending, []
+
+            async def finish_pending(timeout_s):
+                finishing.append(timeout_s)
+                await finish(timeout_s)
+
+            program._control.finish_pending = finish_pending
+            stop = asyncio.create_task(program.stop())
+            await self.wait_until(lambda: len(finishing) == 2 or stop.done())
+            self.send_order(program, stream, b"second")
+            unblock()
+            await stop
+            return [call.args for call in stream.send.call_args_list]
+
+        reply = OrderReply(b"first", OrderOutcome(OrderVerdict.STARTED))
+        self.assertEqual(self.run_bounded(play()), [(FrameKind.ORDER_REPLY, encode(reply))])
+
+    def send_order(self, program, stream, name):
+        payload = encode(OrderBegin(Order(name, b"digest", name)))
+        program.controller.stream_frame(stream, FrameKind.ORDER_BEGIN, payload)
+
     def test_publication_that_does_not_end_in_time_is_refused(self):
         async def play():
             self.set_stop_times(0.1)
