--- a/tests/test_program_stops.py
+++ b/tests/test_program_stops.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import subprocess
 import sys
 import tempfile
 import threading
@@ -12,7 +13,8 @@
 
 import uvloop
 
-sys.path.append(str(Path(__file__).resolve().parent.parent / "platform"))
+ROOT = Path(__file__).resolve().parent.parent
+sys.path.append(str(ROOT / "platform"))
 
 from adapter.documents import parse_config  # noqa: E402
 from adapter.programs import ControllerProgram, NodeProgram  # noqa: E402
@@ -371,6 +373,21 @@
         self.assertEqual(self.answer_after_lame_duck(graceS=2), 200)
 
 
+class StartTests(unittest.TestCase):
+    """Signals to a program that starts."""
+
+    def test_changed_settings_do_not_end_a_program_that_starts(self):
+        program = "import os, signal\nos.kill(os.getpid(), signal.SIGHUP)\nmain = print"
+        with tempfile.TemporaryDirectory() as folder:
+            run = Path(folder) / "run.py"
+            run.write_text((ROOT / "platform" / "run.py").read_text())
+            (Path(folder) / "adapter").mkdir()
+            (Path(folder) / "adapter" / "programs.py").write_text(program)
+            command = [sys.executable, str(run), "node"]
+            result = subprocess.run(command, capture_output=True, check=False)
+        self.assertEqual((result.returncode, result.stdout), (0, b"['node']\n"))
+
+
 class StopTimesTests(unittest.TestCase):
     """The phases of a stop."""
 
