Bound the phases of a drain by its duration

Half of the drain as the longest lame duck phase shortened the usual one from 2.6 s to 2.55 s, and the time for the last responses, 0.4 s, reached beyond a grace period of 2 s. The lame duck phase takes two thirds at most, and the last responses 0.08 of the drain.

--- a/src/marjoramvalve/mesh/nodes.py
+++ b/src/marjoramvalve/mesh/nodes.py
@@ -25,6 +25,7 @@
 
 RECALL_S = 0.3  # Before the end of a drain, calls that are queued elsewhere are called back.
 FLUSH_S = 0.4  # After a drain, for the responses to the calls that it has not finished.
+MAX_LAME_DUCK_SHARE, MAX_FLUSH_SHARE = 2 / 3, 0.08  # Of the duration of a drain.
 DRAIN_POLL_INTERVAL_S = 0.05  # How often a draining node checks for active calls.
 
 log = structlog.get_logger("node")
@@ -177,10 +178,11 @@
             return
         self.stopping = True
         started_at = clock()
-        ends_at = started_at + self.options.drain_timeout_s
-        lame_duck_s = min(self.options.lame_duck_s, self.options.drain_timeout_s / 2)
+        drain_timeout_s = self.options.drain_timeout_s
+        ends_at = started_at + drain_timeout_s
+        lame_duck_s = min(self.options.lame_duck_s, MAX_LAME_DUCK_SHARE * drain_timeout_s)
         now = asyncio.get_running_loop().time()
-        stop = StopSchedule(now + lame_duck_s, now + self.options.drain_timeout_s)
+        stop = StopSchedule(now + lame_duck_s, now + drain_timeout_s)
         self.egress.stop = self.ingress.stop = stop
         running, waiting = self.ingress.load
         log.info("node.draining", calls=self.egress.active_calls, running=running, waiting=waiting)
@@ -198,7 +200,7 @@
         )
         self.egress.answer_all()
         self.ingress.fail_running()
-        await self._finish_calls(clock, ends_at + FLUSH_S)
+        await self._finish_calls(clock, ends_at + min(FLUSH_S, MAX_FLUSH_SHARE * drain_timeout_s))
         self._drained.set()
 
     async def _finish_calls(self, clock: Callable[[], float], until: float) -> bool:
