--- a/src/marjoramvalve/mesh/egress.py
+++ b/src/marjoramvalve/mesh/egress.py
@@ -131,7 +131,7 @@
         if self.stop is None:
             return True
         slowest_s = self._slowest_runs.slowest_s(call.target.name, now)
-        return self.stop.allows(now, call.deadline, call.objective_at, slowest_s, call.is_sub_call)
+        return self.stop.allows(call, slowest_s, now)
 
     def _stopping_retry_after_s(self, now: float) -> float:
         """Returns the time in seconds after which callers know of the stop."""
--- a/src/marjoramvalve/mesh/ingress.py
+++ b/src/marjoramvalve/mesh/ingress.py
@@ -299,12 +299,10 @@
         if self.stop is None:
             return False
         slowest_s = self._slowest_runs.slowest_s(job.route, now)
-        is_allowed = self.stop.allows(
-            now, job.deadline, job.objective_at, slowest_s, job.is_sub_call
-        )
-        if not is_allowed:
-            self._refuse(job, ErrorCode.STOPPING, MIN_RETRY_AFTER_S)
-        return not is_allowed
+        if self.stop.allows(job, slowest_s, now):
+            return False
+        self._refuse(job, ErrorCode.STOPPING, MIN_RETRY_AFTER_S)
+        return True
 
     def _refuse_if_quarantined(self, job: Job, now: float) -> bool:
         """Refuses a call that is quarantined because upstreams crashed on it; True if refused."""
--- a/src/marjoramvalve/mesh/stops.py
+++ b/src/marjoramvalve/mesh/stops.py
@@ -1,10 +1,21 @@
 """Planned stops: which calls a stopping node may still send to an upstream."""
 
 from dataclasses import dataclass
+from typing import Protocol
 
 WINDOW_S = 30.0  # Service times count for one to two windows.
 STOPPING_RETRY_AFTER_S = 0.1  # Another node of the service can be tried immediately.
 SUB_CALL_MARGIN = 2.0  # On the slowest recent service time of a route.
+MIN_DEADLINE_SHARE = 0.75  # Of the time until the deadline of a sub-call that is not repeatable.
+
+
+class TimedCall(Protocol):
+    """A call at its egress or ingress. Times are on the event loop's clock, in seconds."""
+
+    deadline: float
+    objective_at: float
+    is_sub_call: bool
+    repeatable: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,31 +29,27 @@
     serves_until: float
     answers_until: float
 
-    def allows(
-        self,
-        now: float,
-        deadline: float,
-        objective_at: float,
-        slowest_s: float | None,
-        is_sub_call: bool,
-    ) -> bool:
+    def allows(self, call: TimedCall, slowest_s: float | None, now: float) -> bool:
         """Returns whether a call that is sent now will be answered before the node stops.
 
         `slowest_s` is the longest recent service time of its route in seconds, None if unknown;
         the objective of the call takes its place. After `serves_until`, a root call is sent only if
-        even its deadline comes before the stop: its caller can send it to another node, whereas
-        refusing a sub-call fails the call that it was made for.
+        even its deadline comes before the stop: its caller can send it to another node. Refusing a
+        sub-call fails the call that it was made for, so it is sent if that is safe enough.
         """
-        if deadline <= self.answers_until:
+        if call.deadline <= self.answers_until:
             return True
         if now < self.serves_until:
-            margin = 1.0
-        elif is_sub_call:
-            margin = SUB_CALL_MARGIN
-        else:
-            return False
-        ends_at = objective_at if slowest_s is None else now + margin * slowest_s
-        return ends_at <= self.answers_until
+            ends_at = call.objective_at if slowest_s is None else now + slowest_s
+            return ends_at <= self.answers_until
+        return call.is_sub_call and self._allows_late_sub_call(call, slowest_s or 0.0, now)
+
+    def _allows_late_sub_call(self, call: TimedCall, slowest_s: float, now: float) -> bool:
+        left_s = self.answers_until - now
+        is_expected_to_end = max(call.objective_at - now, SUB_CALL_MARGIN * slowest_s) <= left_s
+        return is_expected_to_end and (
+            call.repeatable or left_s >= MIN_DEADLINE_SHARE * (call.deadline - now)
+        )
 
 
 class SlowestRuns:
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -133,6 +133,8 @@
 class UpstreamCallTests(StopTestCase):
     """Calls on connections of the upstream beside a stopping node, while it runs a request."""
 
+    earlier_run_s = LONG_RUN_S  # Of the route before the stop.
+
     async def start_nodes(self, run):
         """Stops the second of three nodes while its upstream runs a request; returns the task."""
         doc = patient_document(order={"service": "leaf"}, open={"service": "leaf"})
@@ -146,7 +148,7 @@
         await self.bench.connect_nodes()
         self.node = self.bench.nodes[1]
         trained = await self.bench.connect_caller(self.node)
-        await trained.request(f"/order/-{LONG_RUN_S}", "t1", method="POST")
+        await trained.request(f"/order/-{self.earlier_run_s}", "t1", method="POST")
         self.front_caller.send("/read/", "a1")
         await self.wait_for_requests()
         await asyncio.sleep(0.05)
@@ -178,6 +180,10 @@
     def test_late_sub_call_on_a_new_connection_is_refused(self):
         self.assertEqual(self.make_late_call("a1.y", "", False), (200, b"503", False))
 
+    def test_late_sub_call_of_a_route_that_was_fast_so_far_is_refused(self):
+        self.earlier_run_s = 0
+        self.assertEqual(self.make_late_call("a1.y", "", False), (200, b"503", False))
+
     def test_late_sub_call_on_a_kept_connection_is_refused(self):
         self.assertEqual(self.make_late_call("a1.y", "", True), (200, b"503", False))
 
@@ -186,9 +192,10 @@
             while not self.node.ingress.stopping:
                 await asyncio.sleep(0.005)
             caller = await self.bench.connect_caller(self.node)
-            caller.send("/order/-0.2", "a1.x", method="POST", key="")
+            extra = "Marjoramvalve-Deadline-Ms: 1500\r\n"
+            caller.send("/order/-0.2", "a1.x", method="POST", key="", extra=extra)
             caller.send("/order/-0", "b1", method="POST")
-            caller.send("/order/-0.1", "a1.y", method="POST", key="")
+            caller.send("/order/-0.1", "a1.y", method="POST", key="", extra=extra)
             return [await read_outcome(caller) for _ in range(3)]
 
         async def scenario():
@@ -502,8 +509,13 @@
         "attempts": 2,
     }
     routes = {
-        f"{kind}{number}": {**route, "path": f"/{kind}{number}/", "repeatable": kind == "r"}
-        for number in range(len(RUNS_S))
+        f"{kind}{number}": {
+            **route,
+            "path": f"/{kind}{number}/",
+            "repeatable": kind == "r",
+            "objective_ms": int(1000 * run_s) + 100,
+        }
+        for number, run_s in enumerate(RUNS_S)
         for kind in "rw"
     }
     routes["parent"] = {**route, "service": "s", "path": "/parent/", "repeatable": False}
--- a/tests/test_stop_schedules.py
+++ b/tests/test_stop_schedules.py
@@ -1,5 +1,6 @@
 """Which calls a stopping node may still send, and how long a route's calls take."""
 
+import types
 import unittest
 
 from marjoramvalve.mesh.stops import WINDOW_S, SlowestRuns, StopSchedule
@@ -8,9 +9,22 @@
 class StopScheduleTests(unittest.TestCase):
     """Calls that may be sent during a stop that serves until 12 s and ends at 15 s."""
 
-    def allows(self, now, deadline=20.0, objective_at=20.0, slowest_s=None, is_sub_call=False):
-        stop = StopSchedule(12.0, 15.0)
-        return stop.allows(now, deadline, objective_at, slowest_s, is_sub_call)
+    def allows(
+        self,
+        now,
+        deadline=20.0,
+        objective_at=20.0,
+        slowest_s=None,
+        is_sub_call=False,
+        repeatable=True,
+    ):
+        call = types.SimpleNamespace(
+            deadline=deadline,
+            objective_at=objective_at,
+            is_sub_call=is_sub_call,
+            repeatable=repeatable,
+        )
+        return StopSchedule(12.0, 15.0).allows(call, slowest_s, now)
 
     def test_call_whose_deadline_comes_before_the_stop_is_sent_at_any_time(self):
         for now in (10.0, 13.0, 14.99):
@@ -27,14 +41,30 @@
     def test_root_call_that_may_outlast_the_stop_is_not_sent_late(self):
         self.assertFalse(self.allows(12.0, objective_at=12.1, slowest_s=0.001))
 
-    def test_sub_call_is_sent_late_with_a_margin(self):
-        self.assertTrue(self.allows(12.0, slowest_s=1.5, is_sub_call=True))
-        self.assertFalse(self.allows(12.1, slowest_s=1.5, is_sub_call=True))
-        self.assertFalse(self.allows(12.0, objective_at=15.1, is_sub_call=True))
+    def sub_call_allowed(self, now, **call):
+        return self.allows(now, is_sub_call=True, **call)
+
+    def test_sub_call_is_sent_late_with_a_margin_on_the_slowest_run(self):
+        self.assertTrue(self.sub_call_allowed(12.0, objective_at=12.1, slowest_s=1.5))
+        self.assertFalse(self.sub_call_allowed(12.1, objective_at=12.2, slowest_s=1.5))
+
+    def test_sub_call_of_a_fast_route_is_not_sent_later_than_its_objective_allows(self):
+        for slowest_s in (None, 0.001):
+            self.assertTrue(self.sub_call_allowed(12.0, objective_at=15.0, slowest_s=slowest_s))
+            self.assertFalse(self.sub_call_allowed(12.0, objective_at=15.1, slowest_s=slowest_s))
+
+    def test_unrepeatable_sub_call_is_sent_late_only_if_most_of_its_time_is_left(self):
+        for deadline, expected in ((15.9, True), (16.1, False)):
+            allowed = self.sub_call_allowed(
+                12.0, deadline=deadline, objective_at=12.1, slowest_s=0.01, repeatable=False
+            )
+            self.assertEqual(allowed, expected)
 
     def test_nothing_that_may_outlast_the_stop_is_sent_after_it(self):
         for is_sub_call in (False, True):
-            self.assertFalse(self.allows(15.1, slowest_s=0.0, is_sub_call=is_sub_call))
+            self.assertFalse(
+                self.allows(15.1, objective_at=15.2, slowest_s=0.0, is_sub_call=is_sub_call)
+            )
 
 
 class SlowestRunsTests(unittest.TestCase):
