Let a stopping ingress go by the objectives of calls too

A call whose route had been fast was taken by a stopping node's ingress even if its objective lay beyond the stop; a run as long as that was cut, though another upstream could have taken it.

tests.test_planned_stops...test_long_calls_of_a_route_that_was_fast_so_far_go_to_another_upstream failed before: three of eight calls were cut.

--- a/src/marjoramvalve/mesh/ingress.py
+++ b/src/marjoramvalve/mesh/ingress.py
@@ -295,11 +295,14 @@
         self.pool.send(job.exchange)
 
     def _refuse_if_stopping(self, job: Job, now: float) -> bool:
-        """Refuses a call that would not end before the node stops; True if refused."""
+        """Refuses a call that might not end before the node stops; True if refused.
+
+        Another upstream can take it.
+        """
         if self.stop is None:
             return False
-        slowest_s = self._slowest_runs.slowest_s(job.route, now)
-        if self.stop.allows(job, slowest_s, now):
+        slowest_s = self._slowest_runs.slowest_s(job.route, now) or 0.0
+        if self.stop.allows(job, max(slowest_s, job.objective_at - now), now):
             return False
         self._refuse(job, ErrorCode.STOPPING, MIN_RETRY_AFTER_S)
         return True
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -410,7 +410,7 @@
 
         self.assertEqual(self.bench.run(scenario()), (503, False))
 
-    def test_calls_too_long_for_the_rest_go_to_another_upstream(self):
+    def check_long_calls(self, earlier_run_s):
         async def scenario():
             doc = patient_document()
             front = await self.bench.add_node(respond_immediately, service="front", doc=doc)
@@ -420,12 +420,12 @@
                 )
             await self.bench.connect_nodes()
 
-            async def call(attempt):
+            async def call(attempt, run_s=0.8):
                 caller = await self.bench.connect_caller(front)
-                caller.send("/order/-0.8", attempt, method="POST")
+                caller.send(f"/order/-{run_s}", attempt, method="POST")
                 return await read_outcome(caller)
 
-            await asyncio.gather(*(call(f"t{number}") for number in range(8)))
+            await asyncio.gather(*(call(f"t{number}", earlier_run_s) for number in range(8)))
             trained = [len(upstream.requests) for upstream in self.bench.upstreams[1:]]
             stop = self.stop(self.bench.nodes[1])
             await self.sleep_until(0.7)
@@ -435,6 +435,12 @@
 
         self.assertEqual(self.bench.run(scenario()), (True, {200: 8}))
 
+    def test_calls_too_long_for_the_rest_go_to_another_upstream(self):
+        self.check_long_calls(earlier_run_s=0.8)
+
+    def test_long_calls_of_a_route_that_was_fast_so_far_go_to_another_upstream(self):
+        self.check_long_calls(earlier_run_s=0.05)
+
 
 class ShortDrainTests(StopTestCase):
     """Drains whose timeout is shorter than the lame duck phase."""
