Leave time for the last responses to reach the callers

An upstream was told to end at the moment at which its caller's node stops. Its own response was then on a link of 10 ms still when the node answered 502 in its place. Found by review.

Runs have to end 0.1 s before the stop. tests.test_planned_stops.SlowLinkTests failed before (502 instead of the upstream's 504).

--- a/src/marjoramvalve/mesh/egress.py
+++ b/src/marjoramvalve/mesh/egress.py
@@ -402,7 +402,7 @@
         call.tries += 1
         call.sent_at = now
         if self.stop is not None:
-            call.send_deadline = min(call.deadline, self.stop.answers_until)
+            call.send_deadline = min(call.deadline, self.stop.ends_until)
             self._log_late(call, now)
         peer.send(call)
         if peer is not self.peers.local:
--- a/src/marjoramvalve/mesh/stops.py
+++ b/src/marjoramvalve/mesh/stops.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 WINDOW_S = 30.0  # Service times count for one to two windows.
+ANSWER_S = 0.1  # For the response of an upstream to reach the caller.
 STOPPING_RETRY_AFTER_S = 0.1  # Another node of the service can be tried immediately.
 SUB_CALL_MARGIN = 2.0  # On the slowest recent service time of a route.
 MIN_DEADLINE_SHARE = 0.75  # Of the time until the deadline of a sub-call that is not repeatable.
@@ -29,6 +30,11 @@
     serves_until: float
     answers_until: float
 
+    @property
+    def ends_until(self) -> float:
+        """Returns until when upstreams may run calls, so that their responses arrive in time."""
+        return self.answers_until - ANSWER_S
+
     def allows(self, call: TimedCall, slowest_s: float | None, now: float) -> bool:
         """Returns whether a call that is sent now will be answered before the node stops.
 
@@ -41,11 +47,11 @@
             return True
         if now < self.serves_until:
             ends_at = call.objective_at if slowest_s is None else now + slowest_s
-            return ends_at <= self.answers_until
+            return ends_at <= self.ends_until
         return call.is_sub_call and self._allows_late_sub_call(call, slowest_s or 0.0, now)
 
     def _allows_late_sub_call(self, call: TimedCall, slowest_s: float, now: float) -> bool:
-        left_s = self.answers_until - now
+        left_s = self.ends_until - now
         is_expected_to_end = max(call.objective_at - now, SUB_CALL_MARGIN * slowest_s) <= left_s
         return is_expected_to_end and (
             call.repeatable or left_s >= MIN_DEADLINE_SHARE * (call.deadline - now)
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -499,6 +499,53 @@
         self.assertIn(self.bench.run(scenario()), (502, 504))
 
 
+def delay_frames(stream, delay_s):
+    """Lets the frames that are sent on one side of a link arrive later."""
+    send, loop = stream.send, asyncio.get_running_loop()
+    stream.send = lambda kind, payload: loop.call_later(delay_s, send, kind, payload)
+
+
+class SlowLinkTests(StopTestCase):
+    """Answers of upstreams that stop work at the deadline that a stopping node gives them."""
+
+    DELAY_S = 0.01
+
+    def test_answer_of_an_upstream_at_its_deadline_is_returned(self):
+        async def answer_at_deadline(request, writer):
+            await asyncio.sleep(int(header_value(request, "Marjoramvalve-Deadline-Ms")) / 1000)
+            answer = ok_response(request, b"upstream's own")
+            writer.write(answer.replace(b"200 OK", b"504 Gateway Timeout"))
+
+        async def run(request, writer):
+            while not hasattr(self, "stopping_at"):
+                await asyncio.sleep(0.005)
+            await self.sleep_until(1.3)
+            caller = await self.bench.connect_caller(self.bench.nodes[1])
+            caller.send("/open/", "a1.x", method="POST", key="")
+            status, _, body = await caller.read_response()
+            writer.write(ok_response(request, f"{status} {body.decode()}".encode()))
+
+        async def scenario():
+            doc = patient_document(open={"service": "leaf", "objective_ms": 300})
+            caller = await self.connect_pair(run, doc=doc)
+            await self.bench.add_node(answer_at_deadline, "leaf", doc=doc)
+            await self.bench.connect_nodes()
+            node, leaf = self.bench.nodes[1:]
+            peer = node.egress.peers.remote[leaf.options.link_address]
+            delay_frames(peer._stream, self.DELAY_S)
+            for session in leaf.sessions._sessions.values():
+                if session.name == node.options.name:
+                    delay_frames(session.stream, self.DELAY_S)
+            caller.send("/read/", "a1")
+            await self.wait_for_requests()
+            stop = self.stop(node)
+            _, _, body = await caller.read_response()
+            await stop
+            return body
+
+        self.assertEqual(self.bench.run(scenario()), b"504 upstream's own")
+
+
 DEADLINE_MS = 4000  # Of the routes that random callers call.
 RUNS_S = (0.0, 0.03, 0.3, 0.7, 1.6)  # Of these routes' calls; the last one outlasts a drain.
 
--- a/tests/test_stop_schedules.py
+++ b/tests/test_stop_schedules.py
@@ -3,11 +3,11 @@
 import types
 import unittest
 
-from marjoramvalve.mesh.stops import WINDOW_S, SlowestRuns, StopSchedule
+from marjoramvalve.mesh.stops import ANSWER_S, WINDOW_S, SlowestRuns, StopSchedule
 
 
 class StopScheduleTests(unittest.TestCase):
-    """Calls that may be sent during a stop that serves until 12 s and ends at 15 s."""
+    """Calls that may be sent during a stop that serves until 12 s, with runs until 15 s."""
 
     def allows(
         self,
@@ -24,7 +24,7 @@
             is_sub_call=is_sub_call,
             repeatable=repeatable,
         )
-        return StopSchedule(12.0, 15.0).allows(call, slowest_s, now)
+        return StopSchedule(12.0, 15.0 + ANSWER_S).allows(call, slowest_s, now)
 
     def test_call_whose_deadline_comes_before_the_stop_is_sent_at_any_time(self):
         for now in (10.0, 13.0, 14.99):
