Send nothing once a drain has ended early

A stalled request does not hold up a drain. If its body ended between the drain and the closing of the node and its deadline came before the end that the drain could have had, it was sent and its connection closed. Found by review; tests.test_planned_stops.AfterDrainTests failed before.

--- a/src/marjoramvalve/mesh/nodes.py
+++ b/src/marjoramvalve/mesh/nodes.py
@@ -201,6 +201,8 @@
         self.egress.answer_all()
         self.ingress.fail_running()
         await self._finish_calls(clock, ends_at + min(FLUSH_S, MAX_FLUSH_SHARE * drain_timeout_s))
+        now = asyncio.get_running_loop().time()
+        self.egress.stop = StopSchedule(now, now)  # Also if the drain has ended early.
         self._drained.set()
 
     async def _finish_calls(self, clock: Callable[[], float], until: float) -> bool:
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -577,6 +577,26 @@
         self.assertEqual(self.request_after_a_slow_run(1), [200] * 5)
 
 
+class AfterDrainTests(StopTestCase):
+    """Requests that become whole when a drain has ended early and the node is not closed yet."""
+
+    def test_stalled_body_that_ends_after_the_drain_is_not_passed_on(self):
+        async def scenario():
+            caller = await self.connect_pair(respond_by_path, doc=patient_document())
+            node = self.bench.nodes[0]
+            head = f"POST /order/-0.3 HTTP/1.1\r\nHost: any\r\n{REQUEST_ID}: a1\r\n"
+            head += "Marjoramvalve-Key: secret\r\nMarjoramvalve-Deadline-Ms: 1900\r\n"
+            caller.writer.write(f"{head}Content-Length: 2\r\n\r\nx".encode())
+            await asyncio.sleep(0.02)
+            await node.drain(asyncio.get_running_loop().time)
+            caller.writer.write(b"x")
+            await asyncio.sleep(0.05)
+            await node.close()
+            return await read_outcome(caller), self.has_run("a1")
+
+        self.assertEqual(self.bench.run(scenario()), (503, False))
+
+
 DEADLINE_MS = 4000  # Of the routes that random callers call.
 RUNS_S = (0.0, 0.03, 0.3, 0.7, 1.6)  # Of these routes' calls; the last one outlasts a drain.
 
