Wait only shortly for the news of a stop to be acknowledged

A node that does not respond and has no calls held up the stop of an idle node for up to 1.5 s. Found by review; the acknowledgement of the news alone is waited for 0.4 s, that of outcomes as before. tests.test_planned_stops.FrozenEgressTests failed before (1.65 s, 0.6 s on virtual time allowed).

--- a/src/marjoramvalve/mesh/nodes.py
+++ b/src/marjoramvalve/mesh/nodes.py
@@ -212,11 +212,12 @@
             self.callers.close_after_pending(keep_upstream=is_upstream_running)
             if not is_upstream_running:
                 self.callers.stop_listening()
+            has_unacknowledged = self.sessions.has_unacknowledged()
             if not (
                 is_upstream_running
+                or has_unacknowledged
                 or self.egress.active_calls
                 or self.callers.is_busy()
-                or self.sessions.has_unacknowledged()
             ):
                 return True
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
--- a/src/marjoramvalve/mesh/sessions.py
+++ b/src/marjoramvalve/mesh/sessions.py
@@ -38,6 +38,7 @@
 DISCONNECTED_TTL_S = 12.0  # For a session without a stream, calls and outcomes.
 SWEEP_INTERVAL_S = 1.0
 SILENCE_S = 1.5  # An egress with calls in progress pings several times in this time.
+STOP_NEWS_S = 0.4  # For an egress without calls to acknowledge that the node stops.
 MAX_STORED_BYTES = 64 << 20  # Of all outcomes; the oldest of the largest session go first.
 
 log = structlog.get_logger("sessions")
@@ -163,7 +164,7 @@
         self._service = service
         self.incarnation = incarnation
         self._sessions: dict[int, Session] = {}
-        self._asked_at: float | None = None  # When acknowledgements were first waited for.
+        self._stop_told_at: float | None = None
         self._sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self._sweep_sessions)
 
     def close(self) -> None:
@@ -180,19 +181,25 @@
         before have arrived.
         """
         now = self.loop.time()
-        if self._asked_at is None:
-            self._asked_at = now
+        if self._stop_told_at is None:
+            self._stop_told_at = now
         waiting = [
             session
             for session in self._sessions.values()
             if session.stream is not None
             and not session.is_acknowledged
-            and now < max(session.stream.last_received_at, self._asked_at) + SILENCE_S
+            and now < self._acknowledged_by(session)
         ]
         for session in waiting:
             session.request_acknowledgement()
         return bool(waiting)
 
+    def _acknowledged_by(self, session: Session) -> float:
+        """Returns until when an acknowledgement of an egress can be expected."""
+        if not session.outcomes:
+            return self._stop_told_at + STOP_NEWS_S
+        return max(session.stream.last_received_at + SILENCE_S, self._stop_told_at + STOP_NEWS_S)
+
     def _sweep_sessions(self) -> None:
         now = self.loop.time()
         for session_id, session in list(self._sessions.items()):
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -597,6 +597,25 @@
         self.assertEqual(self.bench.run(scenario()), (503, False))
 
 
+class FrozenEgressTests(StopTestCase):
+    """Stops of an idle node whose links lead to nodes that don't respond."""
+
+    def test_frozen_egress_without_calls_does_not_delay_a_stop(self):
+        async def scenario():
+            loop = asyncio.get_running_loop()
+            caller = await self.connect_pair(respond_immediately, doc=patient_document())
+            await caller.request("/order/", "t0", method="POST")
+            front, back = self.bench.nodes
+            await asyncio.sleep(1.2)  # The outcome is acknowledged.
+            (peer,) = front.egress.peers.remote.values()
+            peer._stream._transport.pause_reading()
+            started_at = loop.time()
+            await back.drain(loop.time)
+            return loop.time() - started_at
+
+        self.assertLess(self.bench.run(scenario()), 0.6)
+
+
 DEADLINE_MS = 4000  # Of the routes that random callers call.
 RUNS_S = (0.0, 0.03, 0.3, 0.7, 1.6)  # Of these routes' calls; the last one outlasts a drain.
 
