Call a queued call back when it can't end in time any more

Calls in the queues of other nodes were called back 0.3 s before the end of a drain. One that left its queue before that, and took longer than what was left, was cut. Found by review.

Each call is called back once, when the slowest recent run of its route would not end before the stop any more.

--- a/src/marjoramvalve/mesh/calls.py
+++ b/src/marjoramvalve/mesh/calls.py
@@ -20,7 +20,8 @@
     `root_received_at` is when the external call at the root of the call chain was received.
     `is_retry` is set if this call or one of its ancestors has been sent before. `order` is set for
     a call with an idempotency key, which must execute at most once in the fleet. `is_watched` is
-    set if upstreams have crashed on the request.
+    set if upstreams have crashed on the request, and `is_recalled` if its ingress was asked to
+    refuse it unless it runs.
     """
 
     __slots__ = (
@@ -33,6 +34,7 @@
         "done",
         "head",
         "is_head",
+        "is_recalled",
         "is_retry",
         "is_sub_call",
         "is_watched",
@@ -69,6 +71,7 @@
         self.rank = 0
         self.is_sub_call = False
         self.is_watched = False
+        self.is_recalled = False
         self.is_retry = False
         self.root_received_at = request.received_at
         self.customer = ""
--- a/src/marjoramvalve/mesh/egress.py
+++ b/src/marjoramvalve/mesh/egress.py
@@ -25,6 +25,7 @@
 from marjoramvalve.mesh.routes import RouteTable
 from marjoramvalve.mesh.stops import (
     MEAN_MARGIN,
+    RECALL_S,
     STOPPING_RETRY_AFTER_S,
     SlowestRuns,
     StopSchedule,
@@ -146,6 +147,17 @@
         """Returns the time in seconds after which callers know of the stop."""
         return max(STOPPING_RETRY_AFTER_S, self.stop.serves_until - now)
 
+    def recall_late(self) -> None:
+        """Calls back the calls that can't end before the stop unless they run already."""
+        now = self._loop.time()
+        for call in list(self._active):
+            if call.is_recalled or call.peer is None or call.call_id not in call.peer.calls:
+                continue
+            slowest_s = self._slowest_runs.slowest_s(call.target.name, now) or 0.0
+            if now + max(RECALL_S, slowest_s) > self.stop.ends_until:
+                call.is_recalled = True
+                call.peer.recall(call)
+
     def answer_all(self) -> None:
         """Answers every call in progress: it is refused if it was not sent, and fails otherwise."""
         now = self._loop.time()
@@ -411,6 +423,7 @@
         call.tries += 1
         call.sent_at = now
         if self.stop is not None:
+            call.is_recalled = False
             call.send_deadline = min(call.deadline, self.stop.ends_until)
             self._log_late(call, now)
         peer.send(call)
--- a/src/marjoramvalve/mesh/nodes.py
+++ b/src/marjoramvalve/mesh/nodes.py
@@ -23,7 +23,6 @@
 from marjoramvalve.model import Document
 from marjoramvalve.outcomes import Reason
 
-RECALL_S = 0.3  # Before the end of a drain, calls that are queued elsewhere are called back.
 FLUSH_S = 0.4  # After a drain, for the responses to the calls that it has not finished.
 MAX_LAME_DUCK_SHARE, MAX_FLUSH_SHARE = 2 / 3, 0.08  # Of the duration of a drain.
 DRAIN_POLL_INTERVAL_S = 0.05  # How often a draining node checks for active calls.
@@ -189,9 +188,7 @@
         await asyncio.sleep(lame_duck_s)
         self.ingress.stop_accepting()
         self.callers.accept_only_local()
-        if not await self._finish_calls(clock, ends_at - RECALL_S):
-            self.egress.peers.recall_queued()
-            await self._finish_calls(clock, ends_at)
+        await self._finish_calls(clock, ends_at)
         log.info(
             "node.drained",
             after_s=round(clock() - started_at, 2),
@@ -205,9 +202,10 @@
         self.egress.stop = StopSchedule(now, now)  # Also if the drain has ended early.
         self._drained.set()
 
-    async def _finish_calls(self, clock: Callable[[], float], until: float) -> bool:
-        """Closes connections as their calls end; returns whether all have ended in time."""
+    async def _finish_calls(self, clock: Callable[[], float], until: float) -> None:
+        """Closes connections as their calls end, until all have ended or until a time."""
         while clock() < until:
+            self.egress.recall_late()
             is_upstream_running = self.ingress.load[0] > 0
             self.callers.close_after_pending(keep_upstream=is_upstream_running)
             if not is_upstream_running:
@@ -219,9 +217,8 @@
                 or self.egress.active_calls
                 or self.callers.is_busy()
             ):
-                return True
+                return
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
-        return False
 
     async def close(self) -> None:
         """Closes every connection."""
--- a/src/marjoramvalve/mesh/peers.py
+++ b/src/marjoramvalve/mesh/peers.py
@@ -87,8 +87,8 @@
         """Cancels a call; with `only_waiting`, only if it is still queued at the ingress."""
         raise NotImplementedError
 
-    def recall_queued(self) -> None:
-        """Asks the peer to refuse the calls that are still queued at the ingress."""
+    def recall(self, call: "Call") -> None:
+        """Asks the peer to refuse a call if it is still queued at the ingress."""
         raise NotImplementedError
 
     def _pop_call(self, call_id: int) -> "Call | None":
@@ -148,10 +148,9 @@
         if job is not None:
             self._ingress.cancel(job, only_waiting)
 
-    def recall_queued(self) -> None:
-        """Lets the ingress refuse the calls that are still queued."""
-        for job in list(self._jobs.values()):
-            self._ingress.recall(job)
+    def recall(self, call: "Call") -> None:
+        """Lets the ingress refuse a call if it is still queued."""
+        self._ingress.recall(self._jobs[call.call_id])
 
     def _finish(self, job: Job) -> "Call | None":
         self._jobs.pop(job.call_id, None)
@@ -284,11 +283,10 @@
         if self._pop_call(call.call_id) is not None and self._stream is not None:
             self._stream.send(FrameType.CANCEL, CANCEL.pack(call.call_id, only_waiting))
 
-    def recall_queued(self) -> None:
-        """Asks the ingress to refuse the calls that are still queued; those that run go on."""
-        if self.calls and self._stream is not None:
-            payload = b"".join(CALL_ID.pack(call_id) for call_id in self.calls)
-            self._stream.send(FrameType.RECALL, payload)
+    def recall(self, call: "Call") -> None:
+        """Asks the ingress to refuse a call if it is still queued; one that runs goes on."""
+        if self._stream is not None:
+            self._stream.send(FrameType.RECALL, CALL_ID.pack(call.call_id))
 
     # Stream
 
--- a/src/marjoramvalve/mesh/peersets.py
+++ b/src/marjoramvalve/mesh/peersets.py
@@ -151,11 +151,6 @@
         if self._check_timer is None:
             self._check_timer = self._loop.call_later(CHECK_INTERVAL_S, self._check_links)
 
-    def recall_queued(self) -> None:
-        """Asks all ingress nodes to refuse the calls that are still queued there."""
-        for peer in (self.local, *self.remote.values(), *self._retired.values()):
-            peer.recall_queued()
-
     def close(self) -> None:
         """Closes all links."""
         if self._check_timer is not None:
--- a/src/marjoramvalve/mesh/sessions.py
+++ b/src/marjoramvalve/mesh/sessions.py
@@ -264,9 +264,9 @@
                 if job.done:
                     session.jobs.pop(call_id, None)
         elif kind == FrameType.RECALL and session is not None:
-            for (call_id,) in CALL_ID.iter_unpack(payload):
-                if call_id in session.jobs:
-                    self.ingress.recall(session.jobs[call_id])
+            (call_id,) = CALL_ID.unpack(payload)
+            if call_id in session.jobs:
+                self.ingress.recall(session.jobs[call_id])
         elif kind == FrameType.PING:
             stream.send(FrameType.PONG, b"")
         elif kind == FrameType.PONG and session is not None:
--- a/src/marjoramvalve/mesh/stops.py
+++ b/src/marjoramvalve/mesh/stops.py
@@ -6,6 +6,7 @@
 WINDOW_S = 30.0  # Service times count for one to two windows.
 ANSWER_S = 0.1  # For the response of an upstream to reach the caller.
 STOPPING_RETRY_AFTER_S = 0.1  # Another node of the service can be tried immediately.
+RECALL_S = 0.3  # Before runs have to end, calls that are still queued elsewhere are called back.
 MEAN_MARGIN = 3.0  # On the mean service time of a route.
 SUB_CALL_MARGIN = 2.0  # On the slowest recent service time of a route.
 MIN_DEADLINE_SHARE = 0.75  # Of the time until the deadline of a sub-call that is not repeatable.
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -616,6 +616,58 @@
         self.assertLess(self.bench.run(scenario()), 0.6)
 
 
+class LateStartTests(StopTestCase):
+    """Calls that leave the queue of another node too late to end before the stop."""
+
+    def test_queued_root_call_is_not_started_too_late(self):
+        async def scenario():
+            caller = await self.connect_pair(respond_by_path, slots=1, doc=patient_document())
+            other = await self.bench.connect_caller(self.bench.nodes[0])
+            await caller.request("/order/-0.9", "t0", method="POST")
+            for number in range(1, 13):
+                await caller.request("/order/-0.05", f"t{number}", method="POST")
+            other.send("/order/-1.4", "b1", method="POST")
+            await self.wait_for_requests(14)
+            stop = self.stop(self.bench.nodes[0])
+            caller.send("/order/-0.9", "a1", method="POST")
+            outcome = await read_outcome(caller)
+            await stop
+            return outcome, self.has_run("a1")
+
+        self.assertEqual(self.bench.run(scenario()), (503, False))
+
+    def test_queued_sub_call_is_not_started_too_late(self):
+        async def run(request, writer):
+            while not hasattr(self, "stopping_at"):
+                await asyncio.sleep(0.005)
+            await self.sleep_until(0.7)
+            caller = await self.bench.connect_caller(self.bench.nodes[1])
+            caller.send("/order/-0.6", "a1.x", method="POST", key="")
+            outcome = await read_outcome(caller)
+            writer.write(ok_response(request, str(outcome).encode()))
+
+        async def scenario():
+            doc = patient_document(order={"service": "leaf"})
+            caller = await self.connect_pair(run, doc=doc)
+            await self.bench.add_node(respond_by_path, "leaf", slots=1, doc=doc)
+            await self.bench.connect_nodes()
+            trained = await self.bench.connect_caller(self.bench.nodes[1])
+            await trained.request("/order/-0.6", "t0", method="POST")
+            for number in range(1, 13):
+                await trained.request("/order/-0.05", f"t{number}", method="POST")
+            caller.send("/read/", "a1")
+            await self.wait_for_requests()
+            stop = self.stop(self.bench.nodes[1])
+            other = await self.bench.connect_caller(self.bench.nodes[0])
+            await self.sleep_until(0.2)
+            other.send("/order/-1.3", "b1", method="POST")
+            _, _, body = await caller.read_response()
+            await stop
+            return body, self.has_run("a1.x")
+
+        self.assertEqual(self.bench.run(scenario()), (b"503", False))
+
+
 DEADLINE_MS = 4000  # Of the routes that random callers call.
 RUNS_S = (0.0, 0.03, 0.3, 0.7, 1.6)  # Of these routes' calls; the last one outlasts a drain.
 
