Refuse a call that waits for a connection when its node stops

A call for which a connection to its upstream was still being made when its own node or the upstream's stopped was answered 502, and could run after that. It has not been sent, so it is refused and will not run. Found by review; tests.test_planned_stops.ConnectingTests failed before.

--- a/src/marjoramvalve/mesh/ingress.py
+++ b/src/marjoramvalve/mesh/ingress.py
@@ -498,13 +498,21 @@
         self._release(job)
 
     def recall(self, job: Job) -> None:
-        """Refuses a call that is still queued, because the caller's node stops."""
-        if not job.done and self._queue.remove(job):
+        """Refuses a call that the upstream has not got yet, because the caller's node stops."""
+        if job.done:
+            return
+        if self._queue.remove(job):
             self._refuse(job, ErrorCode.STOPPING, MIN_RETRY_AFTER_S)
+        elif job.exchange is not None and job.exchange.conn is None:
+            self.pool.cancel(job.exchange)
+            self._refuse_sent(job, ErrorCode.STOPPING, MIN_RETRY_AFTER_S)
 
     def fail_running(self) -> None:
         """Fails the calls that the upstream is still running when the node stops."""
         for job in list(self._sent_jobs):
+            self.recall(job)
+            if job.done:
+                continue
             log.info("upstream.cut_off", request=job.attempt, instance=self.state.instance)
             self.pool.cancel(job.exchange)
             job.done = True
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -668,6 +668,38 @@
         self.assertEqual(self.bench.run(scenario()), (b"503", False))
 
 
+class ConnectingTests(StopTestCase):
+    """Calls that wait for a connection to their upstream when a drain ends."""
+
+    def stop_while_connecting(self, stopping):
+        async def scenario():
+            caller = await self.connect_pair(respond_by_path, doc=patient_document())
+            ingress = self.bench.nodes[1].ingress
+            is_free, connect = asyncio.Event(), ingress.pool._open_connection
+
+            async def connect_later(factory):
+                await is_free.wait()
+                return await connect(factory)
+
+            ingress.pool._open_connection = connect_later
+            caller.send("/order/-0", "a1", method="POST")
+            while not ingress.load[0]:
+                await asyncio.sleep(0.005)
+            await self.stop(self.bench.nodes[stopping])
+            outcome = await read_outcome(caller)
+            is_free.set()
+            await asyncio.sleep(0.3)
+            return outcome, self.has_run("a1")
+
+        return self.bench.run(scenario())
+
+    def test_call_of_a_stopping_egress_is_refused(self):
+        self.assertEqual(self.stop_while_connecting(0), (503, False))
+
+    def test_call_at_a_stopping_ingress_is_refused(self):
+        self.assertEqual(self.stop_while_connecting(1), (503, False))
+
+
 DEADLINE_MS = 4000  # Of the routes that random callers call.
 RUNS_S = (0.0, 0.03, 0.3, 0.7, 1.6)  # Of these routes' calls; the last one outlasts a drain.
 
