--- a/src/marjoramvalve/mesh/egress.py
+++ b/src/marjoramvalve/mesh/egress.py
@@ -80,7 +80,7 @@
         self.table: RouteTable | None = None
         self.is_config_confirmed: Callable[[], bool] = lambda: False
         self._active: set[Call] = set()
-        self.stop: StopSchedule | None = None
+        self.stop_schedule: StopSchedule | None = None
         self._slowest_runs = SlowestRuns()
         self.metrics = MetricsRegistry()
         self._responder = LocalResponder(self.metrics, rng)
@@ -134,18 +134,18 @@
 
         This is asked whenever a call is sent, whatever delayed it until then.
         """
-        if self.stop is None:
+        if self.stop_schedule is None:
             return True
         name = call.target.name
         slowest_s = self._slowest_runs.slowest_s(name, now)
         if slowest_s is None:
-            return self.stop.allows(call, call.objective_at - now, 0.0, now)
+            return self.stop_schedule.allows(call, call.objective_at - now, 0.0, now)
         needs_s = MEAN_MARGIN * self._route_stats.mean_s(name)
-        return self.stop.allows(call, needs_s, slowest_s, now)
+        return self.stop_schedule.allows(call, needs_s, slowest_s, now)
 
     def _stopping_retry_after_s(self, now: float) -> float:
         """Returns the time in seconds after which callers know of the stop."""
-        return max(STOPPING_RETRY_AFTER_S, self.stop.serves_until - now)
+        return max(STOPPING_RETRY_AFTER_S, self.stop_schedule.serves_until - now)
 
     def recall_late(self) -> None:
         """Calls back the calls that can't end before the stop unless they run already."""
@@ -154,7 +154,7 @@
             if call.is_recalled or call.peer is None or call.call_id not in call.peer.calls:
                 continue
             slowest_s = self._slowest_runs.slowest_s(call.target.name, now) or 0.0
-            if now + max(RECALL_S, slowest_s) > self.stop.ends_until:
+            if now + max(RECALL_S, slowest_s) > self.stop_schedule.ends_until:
                 call.is_recalled = True
                 call.peer.recall(call)
 
@@ -422,16 +422,16 @@
         call.peer = peer
         call.tries += 1
         call.sent_at = now
-        if self.stop is not None:
+        if self.stop_schedule is not None:
             call.is_recalled = False
-            call.send_deadline = min(call.deadline, self.stop.ends_until)
+            call.send_deadline = min(call.deadline, self.stop_schedule.ends_until)
             self._log_late(call, now)
         peer.send(call)
         if peer is not self.peers.local:
             self.peers.schedule_check()
 
     def _log_late(self, call: Call, now: float) -> None:
-        if now < self.stop.serves_until:
+        if now < self.stop_schedule.serves_until:
             return
         log.info(
             "call.sent_late",
@@ -440,9 +440,9 @@
             peer=call.peer.name,
             sub_call=call.is_sub_call,
             repeatable=call.repeatable,
-            received_s=round(call.request.received_at - self.stop.serves_until, 3),
-            sent_s=round(now - self.stop.serves_until, 3),
-            left_s=round(self.stop.answers_until - now, 3),
+            received_s=round(call.request.received_at - self.stop_schedule.serves_until, 3),
+            sent_s=round(now - self.stop_schedule.serves_until, 3),
+            left_s=round(self.stop_schedule.answers_until - now, 3),
         )
 
     def call_completed(
--- a/src/marjoramvalve/mesh/ingress.py
+++ b/src/marjoramvalve/mesh/ingress.py
@@ -53,7 +53,7 @@
         self.pool = UpstreamPool(names, self._on_unexpected_response)
         self.state = UpstreamState()
         self.stopping = False
-        self.stop: StopSchedule | None = None
+        self.stop_schedule: StopSchedule | None = None
         self._shed_limit = 0.0
         self._shed_limit_updated_at = self._loop.time()
         self._unreachable_until = 0.0
@@ -298,11 +298,11 @@
 
         Another upstream can take it.
         """
-        if self.stop is None:
+        if self.stop_schedule is None:
             return False
         mean_s = self.service_times.mean_s(job.route)
         needs_s = max(MEAN_MARGIN * mean_s, job.objective_at - now)
-        if self.stop.allows(job, needs_s, mean_s, now):
+        if self.stop_schedule.allows(job, needs_s, mean_s, now):
             return False
         self._refuse(job, ErrorCode.STOPPING, MIN_RETRY_AFTER_S)
         return True
--- a/src/marjoramvalve/mesh/nodes.py
+++ b/src/marjoramvalve/mesh/nodes.py
@@ -181,8 +181,8 @@
         ends_at = started_at + drain_timeout_s
         lame_duck_s = min(self.options.lame_duck_s, MAX_LAME_DUCK_SHARE * drain_timeout_s)
         now = asyncio.get_running_loop().time()
-        stop = StopSchedule(now + lame_duck_s, now + drain_timeout_s)
-        self.egress.stop = self.ingress.stop = stop
+        schedule = StopSchedule(now + lame_duck_s, now + drain_timeout_s)
+        self.egress.stop_schedule = self.ingress.stop_schedule = schedule
         running, waiting = self.ingress.load
         log.info("node.draining", calls=self.egress.active_calls, running=running, waiting=waiting)
         await asyncio.sleep(lame_duck_s)
@@ -199,7 +199,7 @@
         self.ingress.fail_running()
         await self._finish_calls(clock, ends_at + min(FLUSH_S, MAX_FLUSH_SHARE * drain_timeout_s))
         now = asyncio.get_running_loop().time()
-        self.egress.stop = StopSchedule(now, now)  # Also if the drain has ended early.
+        self.egress.stop_schedule = StopSchedule(now, now)  # Also if the drain has ended early.
         self._drained.set()
 
     async def _finish_calls(self, clock: Callable[[], float], until: float) -> None:
