Model callers that leave in the call graph simulation

Callers of the fatal request and of other calls may disconnect early, times of the fatal request may vary, and external calls may be for several paths. An upstream goes on with a fatal request that was cancelled, and crashes. Refusals of quarantined calls are counted for sub-calls too, no longer for external calls only.

Without the new options the simulation draws the same numbers as before.

--- a/src/marjoramvalve/scenario/__init__.py
+++ b/src/marjoramvalve/scenario/__init__.py
@@ -4,6 +4,7 @@
 from marjoramvalve.scenario.graphs import CallGraphSimulation
 from marjoramvalve.scenario.loads import (
     AnnouncedLimits,
+    Departures,
     FatalRequest,
     GraphResult,
     GraphRoute,
@@ -21,6 +22,7 @@
     "DEPLOYMENTS",
     "AnnouncedLimits",
     "CallGraphSimulation",
+    "Departures",
     "Deployment",
     "FatalRequest",
     "GraphResult",
--- a/src/marjoramvalve/scenario/graphs.py
+++ b/src/marjoramvalve/scenario/graphs.py
@@ -26,6 +26,7 @@
 from marjoramvalve.retries import CrashedRun
 from marjoramvalve.scenario.loads import (
     AnnouncedLimits,
+    Departures,
     FatalRequest,
     GraphResult,
     GraphRoute,
@@ -70,6 +71,7 @@
         self._node = node
         self._speed = speed
         self._running: dict[object, None] = {}  # Ordered by start time.
+        self._fatal_cancelled: set[object] = set()
         self._is_listening = True
         self.max_connections = 0
 
@@ -88,10 +90,11 @@
         if len(self._running) >= self._node.service.slots:
             self._simulation.loop.call_soon(self._respond, exchange, SHED_RESPONSE)
             return
+        exchange.conn = self
         if FATAL_PATH in exchange.raw:
             self._simulation.result.fatal_runs.append(self._simulation.loop.time())
             self._running[exchange] = None
-            delay_s = self._simulation.fatal.crash_after_s
+            delay_s = self._simulation.vary_s(self._simulation.fatal.crash_after_s)
             self._simulation.loop.call_later(delay_s, self._crash_on, exchange)
             return
         route = self._simulation.routes[exchange.raw.split(b"/", 2)[1].decode()]
@@ -109,7 +112,7 @@
         self._simulation.loop.call_soon(on_done, self._is_listening)
 
     def _crash_on(self, exchange) -> None:
-        if exchange in self._running:
+        if exchange in self._running or exchange in self._fatal_cancelled:
             self._simulation.result.fatal_crashes.append(self._simulation.loop.time())
             self.crash()
 
@@ -119,6 +122,7 @@
             return
         self._is_listening = False
         running, self._running = self._running, {}
+        self._fatal_cancelled.clear()
         for exchange in running:
             exchange.on_failure("end of stream", ExchangeFailure.CONNECTION_CLOSED)
         self._simulation.loop.call_later(RESTART_S, self._restart)
@@ -129,8 +133,11 @@
         self._node.ingress.set_state(replace(state, started_at_ms=state.started_at_ms + 1))
 
     def cancel(self, exchange) -> None:
-        """Stops working on a request."""
-        self._running.pop(exchange, None)
+        """Stops working on a request, unless it is the fatal one."""
+        if exchange in self._running:
+            del self._running[exchange]
+            if FATAL_PATH in exchange.raw:
+                self._fatal_cancelled.add(exchange)
 
     def _start_calls(self, exchange, route: GraphRoute, half_work_s: float) -> None:
         if exchange not in self._running:
@@ -275,7 +282,9 @@
         outages: tuple[Outage, ...] = (),
         grey: GreyFailure | None = None,
         limits: tuple[AnnouncedLimits, ...] = (),
+        departures: Departures | None = None,
     ) -> None:
+        self._departures = departures
         self._limits = limits
         self.fatal = fatal
         self._outages = outages
@@ -318,6 +327,12 @@
                 return item.rates[index]
         return None
 
+    def vary_s(self, time_s: float) -> float:
+        """Returns a time of the fatal request, in seconds, varied by its jitter."""
+        if not self.fatal.jitter:
+            return time_s
+        return time_s * self.rng.uniform(1 - self.fatal.jitter, 1 + self.fatal.jitter)
+
     def draw_failure(self, service: str) -> bool:
         """Draws whether a run of a service fails because of a grey failure."""
         grey = self._grey
@@ -401,17 +416,20 @@
         fatal = self.fatal
         for number, node in enumerate(self.rng.sample(self._nodes, fatal.instances)):
             self.result.fatal_requests += 1
-            self.loop.call_later(
-                number * fatal.gap_s,
-                self.send_call,
-                node,
-                fatal.route,
-                b"",
-                lambda status, output: None,
-                FATAL_PATH,
-            )
-        if self.loop.time() + fatal.every_s < duration_s:
-            self.loop.call_later(fatal.every_s, self._send_fatal_request, duration_s)
+            self.loop.call_later(self.vary_s(number * fatal.gap_s), self._send_fatal_call, node)
+        every_s = self.vary_s(fatal.every_s)
+        if self.loop.time() + every_s < duration_s:
+            self.loop.call_later(every_s, self._send_fatal_request, duration_s)
+
+    def _send_fatal_call(self, node: _Node) -> None:
+        fatal = self.fatal
+        request = self.send_call(node, fatal.route, b"", lambda status, output: None, FATAL_PATH)
+        if fatal.leave_after_s:
+            self.loop.call_later(self.vary_s(fatal.leave_after_s), self._disconnect, request)
+
+    def _disconnect(self, request: IncomingRequest) -> None:
+        if request.on_disconnect is not None:
+            request.on_disconnect()
 
     def report_crash(self, node: _Node, runs: list[CrashedRun]) -> None:
         """Reports a crash; all instances get the suspects after a controller round trip."""
@@ -441,25 +459,37 @@
         parent: bytes,
         on_response_received: Callable[[int, bytes], None],
         path: bytes = b"/1",
-    ) -> None:
+    ) -> IncomingRequest:
         """Sends a request into the egress of a node."""
-        conn = _CallerConnection(on_response_received)
+
+        def on_response(status: int, output: bytes) -> None:
+            self.result.quarantined += path != FATAL_PATH and b":quarantined" in output
+            on_response_received(status, output)
+
+        conn = _CallerConnection(on_response)
         request = conn.request = IncomingRequest(conn, self.loop.time())
         request.method = b"GET"
         request.target = b"/%b%b" % (route.encode(), path)
         request.host = b"any"
         request.attempt = b"%b%d" % (parent + b"." if parent else b"", next(self._ids))
         node.egress.handle(request)
+        return request
 
     def _start_call(self, name: str) -> None:
         route = self.routes[name]
         started_at = self.loop.time()
         tally = self.result.tallies[name]
         tally.arrivals += 1
-        self._attempt(route, started_at, tally, True)
+        path = b"/%d" % (self.rng.randint(1, route.paths) if route.paths > 1 else 1)
+        self._attempt(route, path, started_at, tally, True)
 
     def _attempt(
-        self, route: GraphRoute, started_at: float, tally: RouteTally, may_retry: bool
+        self,
+        route: GraphRoute,
+        path: bytes,
+        started_at: float,
+        tally: RouteTally,
+        may_retry: bool,
     ) -> None:
         def on_response_received(status: int, output: bytes) -> None:
             elapsed_s = self.loop.time() - started_at
@@ -470,11 +500,12 @@
                 tally.late += not is_timely
                 tally.value_earned += route.value if is_timely else route.late_value
                 return
-            self.result.quarantined += b":quarantined" in output
             retry_after_s = _retry_after_s(output) if status == 503 else 0.0
             is_retryable = may_retry and (status == 503 or route.repeatable)
             if is_retryable and elapsed_s + retry_after_s < route.deadline_s:
-                self.loop.call_later(retry_after_s, self._attempt, route, started_at, tally, False)
+                self.loop.call_later(
+                    retry_after_s, self._attempt, route, path, started_at, tally, False
+                )
                 return
             tally.outcomes.append((started_at, False))
             if status == 503:
@@ -482,7 +513,12 @@
             else:
                 tally.failed += 1
 
-        self.send_call(self.rng.choice(self._nodes), route.name, b"", on_response_received)
+        node = self.rng.choice(self._nodes)
+        request = self.send_call(node, route.name, b"", on_response_received, path)
+        departures = self._departures
+        if departures is not None and self.rng.random() < departures.share:
+            delay_s = self.rng.uniform(0.0, departures.within_s)
+            self.loop.call_later(delay_s, self._disconnect, request)
 
 
 def _retry_after_s(output: bytes) -> float:
--- a/src/marjoramvalve/scenario/loads.py
+++ b/src/marjoramvalve/scenario/loads.py
@@ -23,6 +23,7 @@
 
     `calls` holds tuples of route, number of calls, and whether these are concurrent. Times are in
     seconds. A call is worth `value` if it succeeds within its objective, `late_value` if later.
+    External calls are for `paths` different paths.
     """
 
     name: str
@@ -36,6 +37,7 @@
     rank: int = 0
     repeatable: bool = True
     calls: tuple[tuple[str, int, bool], ...] = ()
+    paths: int = 1
 
 
 @dataclass(frozen=True)
@@ -58,7 +60,9 @@
     """A request that crashes every upstream that runs it, sent again every `every_s` seconds.
 
     Each time it is sent to `instances` instances, `gap_s` after each other. An upstream crashes
-    `crash_after_s` after it has begun to run the request.
+    `crash_after_s` after it has begun to run the request, even if the run has been cancelled. Its
+    callers disconnect `leave_after_s` after they have sent it, or never if that is 0. Each time is
+    varied by a random factor of up to 1 +- `jitter`.
     """
 
     route: str
@@ -67,6 +71,8 @@
     instances: int = 1
     gap_s: float = 0.0
     crash_after_s: float = 0.005
+    leave_after_s: float = 0.0
+    jitter: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -78,6 +84,14 @@
     upstreams: int
 
 
+@dataclass(frozen=True)
+class Departures:
+    """Callers that disconnect early: a share of them, after up to `within_s` seconds."""
+
+    share: float
+    within_s: float
+
+
 @dataclass(frozen=True)
 class AnnouncedLimits:
     """A period in which upstreams of a service announce limits in requests per second.
@@ -120,9 +134,10 @@
 class GraphResult:
     """Tallies by route, and run counts by service.
 
-    `retries` counts calls that arrive at an ingress after they, or a call above them in the chain,
-    were sent before; `first_attempts` counts the others. `wasted` counts runs that ended in an
-    error. `arrivals` holds the times of the requests that each upstream received.
+    `retries` counts calls that arrive at an ingress after they, or a call above them in the
+    chain, were sent before; `first_attempts` counts the others. `wasted` counts runs that ended
+    in an error. `quarantined` counts the calls other than the fatal request that were refused
+    as quarantined. `arrivals` holds the times of the requests that each upstream received.
     """
 
     tallies: dict[str, RouteTally]
