Name runs that were cancelled before their upstream crashed

Cause: the ingress closed the connection of a cancelled run and forgot it. No connection broke under it, and the crash named nobody.

A cancelled run is a suspect for 3 s. A crash that shows by other broken runs, a refused connection, a 421 or a restart names it too, unless the upstream was seen alive later than that. It makes its request watched at most. A watched run is no longer cancelled when its caller leaves: it ends with an answer, which clears an innocent request, or with a crash under an open connection, which is the third.

--- a/src/marjoramvalve/mesh/ingress.py
+++ b/src/marjoramvalve/mesh/ingress.py
@@ -8,7 +8,7 @@
 from marjoramvalve.h1 import Exchange, ExchangeFailure, HeaderNames, UpstreamPool, UpstreamResponse
 from marjoramvalve.mesh.announced_rates import AnnouncedRateLimiter
 from marjoramvalve.mesh.announcements import UpstreamAnnouncements, is_same_incarnation
-from marjoramvalve.mesh.crashes import BrokenRun, CrashDetector
+from marjoramvalve.mesh.crashes import ABANDONED_S, BrokenRun, CrashDetector
 from marjoramvalve.mesh.frames import ErrorCode, UpstreamNotice
 from marjoramvalve.mesh.jobs import Job, RunStats, UpstreamState
 from marjoramvalve.mesh.quarantines import Quarantine
@@ -140,6 +140,8 @@
         if self.announcements.has_departed(state.instance, state.started_at_ms, now):
             log.info("upstream.late_state", instance=state.instance, born=state.started_at_ms)
             return
+        if not self._is_expected_to_run():
+            self._crash_detector.drop_abandoned()
         previous, self.state = self.state, state
         self.announcements.set_state(state, now)
         self._told_kinds = self.announcements.announced_kinds
@@ -150,6 +152,8 @@
             if previous.instance:
                 runs = self._crash_detector.take_before_restart(self._loop.time())
                 self._on_upstream_crash(runs, previous.instance, "restarted")
+        else:
+            self._crash_detector.record_alive(now)
         if state.ready and not previous.ready:
             self._unreachable_until = 0.0
         if not self.ready:
@@ -360,8 +364,13 @@
         # A 421 comes from another upstream at the address of the one that is known.
         if response.status != 421 and self.announcements.record(response, job.attempt, now):
             self._on_announced(now)
+        if response.status != 421:
+            self._crash_detector.record_alive(now)
         if response.status == 421:
             log.warning("upstream.replaced", request=job.attempt, expected=self.state.instance)
+            if self._is_expected_to_run():
+                runs = self._crash_detector.take_before_restart(now)
+                self._on_upstream_crash(runs, self.state.instance, "replaced")
             self.set_state(replace(self.state, ready=False))
             self._refuse_sent(job, ErrorCode.NOT_READY, MIN_RETRY_AFTER_S)
         elif response.not_run:
@@ -423,10 +432,11 @@
         )
         if kind is ExchangeFailure.NOT_SENT:
             self._set_unreachable()
+            if self._crash_detector.has_abandoned and self._is_expected_to_run():
+                self._check_listening()
             self._refuse_sent(job, ErrorCode.NO_CONNECTION, RECONNECT_DELAY_S)
             return
-        is_expected_to_run = self.state.ready and not self.announcements.is_leaving
-        if kind is ExchangeFailure.CONNECTION_CLOSED and is_expected_to_run:
+        if kind is ExchangeFailure.CONNECTION_CLOSED and self._is_expected_to_run():
             now = self._loop.time()
             run = BrokenRun(job.attempt, fingerprints, job.started_at, now, job.is_retry)
             self._crash_detector.record(run)
@@ -437,6 +447,18 @@
 
     # Upstream crashes
 
+    def _is_expected_to_run(self) -> bool:
+        return self.state.ready and not self.announcements.is_leaving
+
+    def _abandon(self, job: Job) -> None:
+        """Aborts a call; the upstream may work on it for a while, and crash."""
+        if job.exchange.conn is not None:
+            now = self._loop.time()
+            fingerprints = self.quarantine.fingerprint_sent(job)
+            run = BrokenRun(job.attempt, fingerprints, job.started_at, now, job.is_retry, True)
+            self._crash_detector.record_abandoned(run)
+        self.pool.cancel(job.exchange)
+
     def _check_listening(self) -> None:
         if not self._is_checking_listener:
             self._is_checking_listener = True
@@ -477,10 +499,15 @@
     def _expire(self, job: Job) -> None:
         if job.done:
             return
-        if self._loop.time() < job.deadline + DEADLINE_GRACE_S - 0.001:
+        now = self._loop.time()
+        if now < job.deadline + DEADLINE_GRACE_S - 0.001:
+            return
+        cut_at = job.deadline + ABANDONED_S
+        if now < cut_at and self.quarantine.keeps_running(job, now):
+            self._deadlines.add(cut_at, lambda: self._expire(job))
             return
         log.info("upstream.overdue", request=job.attempt, instance=self.state.instance)
-        self.pool.cancel(job.exchange)
+        self._abandon(job)
         job.callbacks.job_failed(job, ErrorCode.DEADLINE)
         self._release(job)
 
@@ -492,9 +519,9 @@
             self._queue.remove(job)
             job.done = True
             return
-        if only_waiting:
+        if only_waiting or self.quarantine.keeps_running(job, self._loop.time()):
             return
-        self.pool.cancel(job.exchange)
+        self._abandon(job)
         self._release(job)
 
     def recall(self, job: Job) -> None:
--- a/src/marjoramvalve/mesh/quarantines.py
+++ b/src/marjoramvalve/mesh/quarantines.py
@@ -81,6 +81,15 @@
             self._watched.add(job)
         return None
 
+    def keeps_running(self, job: Job, now: float) -> bool:
+        """Returns whether a cancelled call goes on, as a watched one does until it is answered."""
+        if job.exchange.conn is None or not self._may_list(job.exchange.raw):
+            return False
+        if self.table.standing(self.fingerprint_sent(job), now)[0] is Standing.FREE:
+            return False
+        self._watched.add(job)
+        return True
+
     def fingerprint_sent(self, job: Job) -> tuple[bytes, ...]:
         """Returns the fingerprints of a call that has been sent to the upstream."""
         return self._fingerprint_raw(job.route, job.exchange.raw)
@@ -96,7 +105,7 @@
     def record_crash(self, runs: list[BrokenRun], now: float) -> None:
         """Records that the upstream crashed during these runs."""
         ended = [
-            CrashedRun(digest, run.broken_at - run.started_at, run.is_retry)
+            CrashedRun(digest, run.broken_at - run.started_at, run.is_retry, run.was_cancelled)
             for run in runs
             for digest in run.fingerprints
         ]
--- a/src/marjoramvalve/retries/suspects.py
+++ b/src/marjoramvalve/retries/suspects.py
@@ -2,7 +2,7 @@
 
 Guards against a request that crashes every upstream that starts to run it and is sent again, with
 the same content, to any instance. When an upstream crashes, every request that it was running
-becomes a suspect, although at most one of them caused the crash. Three rules narrow it down:
+becomes a suspect, although at most one of them caused the crash. Four rules narrow it down:
 
 - Upstreams that crash at the same time while running the same popular request may have a common
   cause. Such runs are one event: a run belongs to a new one if it began after the previous crash,
@@ -13,6 +13,8 @@
 - A request that was running in two crashes is watched: callers' nodes send it to one upstream
   only, which runs at most one watched request at a time. The next crash is not attributed to the
   wrong request, and other upstreams are spared.
+- A run that was cancelled shortly before a crash makes its request watched at most. Watched runs
+  are not cancelled when their callers leave, so that each ends with an answer or with a crash.
 
 Each instance and each controller has its own table. Tables may be merged at any time and in any
 order: the higher count wins.
@@ -47,12 +49,14 @@
     """A run of a request that was interrupted by a crash of its upstream, after `ran_s` seconds.
 
     `is_retry` marks a retry sent after an earlier run of the same request had failed. The clocks
-    of two instances differ too much to derive this from times.
+    of two instances differ too much to derive this from times. `was_cancelled` marks a run that was
+    cancelled shortly before the crash; `ran_s` is then the time since it began.
     """
 
     fingerprint: bytes
     ran_s: float
     is_retry: bool
+    was_cancelled: bool = False
 
 
 class ListedSuspect(msgspec.Struct, frozen=True, array_like=True):
@@ -139,6 +143,8 @@
                 while len(self._unlisted) > MAX_UNLISTED:
                     del self._unlisted[next(iter(self._unlisted))]
                 continue
+            if run.was_cancelled and suspect.crashes >= MIN_CRASHES_TO_WATCH:
+                continue
             if suspect.is_new_event(run, crashed_at):
                 suspect.events += 1
             elif suspect.events == 1 and suspect.crashes >= MIN_CRASHES_TO_WATCH:
--- a/tests/test_mesh_ends.py
+++ b/tests/test_mesh_ends.py
@@ -4,9 +4,15 @@
 import unittest
 
 from marjoramvalve.h1 import UpstreamResponse
-from marjoramvalve.mesh.crashes import REFUSED_WINDOW_S, RESTART_WINDOW_S, BrokenRun, CrashDetector
+from marjoramvalve.mesh.crashes import (
+    ABANDONED_S,
+    REFUSED_WINDOW_S,
+    RESTART_WINDOW_S,
+    BrokenRun,
+    CrashDetector,
+)
 from marjoramvalve.retries import fingerprints
-from tests.meshes import reset_connection
+from tests.meshes import make_document, ok_response, reset_connection
 from tests.test_mesh import MeshTestCase
 
 
@@ -85,6 +91,129 @@
         self.assertEqual(self.bench.run(play()), (0, 1))
 
 
+class AbandonedRunTests(MeshTestCase):
+    """Upstreams that crash after a run was cancelled."""
+
+    async def abandon(self):
+        """Cancels /read/1 while its upstream runs it; returns the list of the runs of crashes."""
+
+        async def stuck(request, writer):
+            await asyncio.sleep(5.0)
+
+        caller = await self.connect_pair(stuck)
+        node = self.bench.nodes[1]
+        caller.send("/read/1", "a1")
+        while not self.bench.upstreams[1].running:
+            await asyncio.sleep(0.005)
+        caller.writer.close()
+        while not self.bench.upstreams[1].closed_early:
+            await asyncio.sleep(0.005)
+        crashes = []
+        node.quarantine.on_crash = crashes.append
+        return node, crashes
+
+    def check_crash(self, crashes, attempts):
+        expected = [
+            digest
+            for target in attempts
+            for digest in fingerprints(b"read", b"shed", b"GET", target, b"")
+        ]
+        found = [[run.fingerprint for run in runs] for runs in crashes]
+        self.assertEqual(found, [expected] if expected else [])
+
+    def test_a_restart_after_the_caller_left_names_the_request(self):
+        async def play():
+            node, crashes = await self.abandon()
+            self.bench.upstreams[1].crash()
+            self.bench.set_upstream_state(node, "i-n1", started_at_ms=2)
+            return crashes
+
+        self.check_crash(self.bench.run(play()), [b"/read/1"])
+
+    def test_a_refused_connection_after_the_caller_left_names_the_request(self):
+        async def play():
+            _, crashes = await self.abandon()
+            self.bench.upstreams[1].crash()
+            other = await self.bench.connect_caller(self.bench.nodes[0])
+            other.send("/read/2", "a2")
+            while not crashes:
+                await asyncio.sleep(0.005)
+            return crashes
+
+        self.check_crash(self.bench.run(play()), [b"/read/1"])
+
+    def test_another_upstream_at_the_address_names_the_request(self):
+        async def misdirect(request, writer):
+            writer.write(ok_response(request).replace(b"200 OK", b"421 X"))
+
+        async def play():
+            _, crashes = await self.abandon()
+            self.bench.upstreams[1].respond = misdirect
+            other = await self.bench.connect_caller(self.bench.nodes[0])
+            await other.request("/read/2", "a2")
+            return crashes
+
+        self.check_crash(self.bench.run(play()), [b"/read/1"])
+
+    def test_a_crash_under_other_runs_names_the_abandoned_one_too(self):
+        async def play():
+            _, crashes = await self.abandon()
+            other = await self.bench.connect_caller(self.bench.nodes[0])
+            other.send("/read/2", "a2")
+            while not self.bench.upstreams[1].running:
+                await asyncio.sleep(0.005)
+            self.bench.upstreams[1].crash()
+            while not crashes:
+                await asyncio.sleep(0.005)
+            return crashes
+
+        self.check_crash(self.bench.run(play()), [b"/read/1", b"/read/2"])
+
+    def test_a_run_cut_off_at_its_deadline_is_named(self):
+        async def stuck(request, writer):
+            await asyncio.sleep(5.0)
+
+        async def play():
+            doc = make_document(order={"deadline_ms": 150})
+            caller = await self.connect_pair(stuck, doc=doc)
+            node = self.bench.nodes[1]
+            crashes = []
+            node.quarantine.on_crash = crashes.append
+            await caller.request("/order/1", "a1")
+            while not self.bench.upstreams[1].closed_early:
+                await asyncio.sleep(0.005)
+            self.bench.upstreams[1].crash()
+            self.bench.set_upstream_state(node, "i-n1", started_at_ms=2)
+            return len(crashes)
+
+        self.assertEqual(self.bench.run(play()), 1)
+
+    def test_an_announced_shutdown_names_nobody(self):
+        async def play():
+            node, crashes = await self.abandon()
+            self.bench.set_upstream_state(node, "i-n1", ready=False)
+            self.bench.upstreams[1].crash()
+            self.bench.set_upstream_state(node, "i-n1", started_at_ms=2)
+            return crashes
+
+        self.check_crash(self.bench.run(play()), [])
+
+    def test_an_upstream_that_answers_long_after_the_cancellation_has_survived_it(self):
+        detector = CrashDetector()
+        detector.record_abandoned(BrokenRun(b"a1", (b"f",), 1.0, 5.0, False, True))
+        detector.record_alive(5.0 + ABANDONED_S - 0.1)
+        self.assertTrue(detector.has_abandoned)
+        detector.record_alive(5.0 + ABANDONED_S + 0.1)
+        self.assertEqual(detector.take_before_restart(5.0 + ABANDONED_S + 0.2), [])
+
+    def test_a_crash_long_after_the_cancellation_names_only_the_broken_run(self):
+        detector = CrashDetector()
+        broken = BrokenRun(b"a2", (b"g",), 8.0, 5.1 + ABANDONED_S, False)
+        detector.record_abandoned(BrokenRun(b"a1", (b"f",), 1.0, 5.0, False, True))
+        detector.record(broken)
+        self.assertEqual(detector.take_before_refusal(broken.broken_at), [broken])
+
+
 class CrashDetectorTests(unittest.TestCase):
     """Which broken runs are attributed to a crash."""
 
--- a/tests/test_mesh_quarantine.py
+++ b/tests/test_mesh_quarantine.py
@@ -3,7 +3,13 @@
 import asyncio
 
 from marjoramvalve.retries import CrashedRun, ListedSuspect, Standing, fingerprints
-from tests.meshes import header_value, ok_response, respond_after, respond_immediately
+from tests.meshes import (
+    header_value,
+    make_document,
+    ok_response,
+    respond_after,
+    respond_immediately,
+)
 from tests.test_mesh import MeshTestCase
 
 HOLD_S = 60.0
@@ -134,6 +140,57 @@
 
         self.assertEqual(self.bench.run(play()), (200, 503, [200, 200]))
 
+    async def leave(self, respond, doc=None):
+        """Sends a watched request, whose caller leaves while it runs; returns another caller."""
+        caller = await self.connect_pair(respond, doc=doc)
+        self.report_crashes(self.bench.nodes[1], "/read/one", 2)
+        caller.send("/read/one", "a1")
+        while not self.bench.upstreams[1].running:
+            await asyncio.sleep(0.005)
+        caller.writer.close()
+        while self.bench.nodes[0].egress.active_calls:
+            await asyncio.sleep(0.005)
+        await asyncio.sleep(0.05)
+        return await self.bench.connect_caller(self.bench.nodes[0])
+
+    def test_it_runs_on_alone_when_its_caller_leaves_until_its_answer_clears_it(self):
+        release = asyncio.Event()
+
+        async def play():
+            other = await self.leave(respond_after(release))
+            beside = (await other.request("/read/one", "a2"))[0]
+            release.set()
+            while self.bench.nodes[1].ingress.running:
+                await asyncio.sleep(0.005)
+            return beside, self.standing(self.bench.nodes[1], "/read/one")
+
+        self.assertEqual(self.bench.run(play()), (503, Standing.FREE))
+        self.assertEqual(self.bench.upstreams[1].closed_early, 0)
+
+    def test_a_crash_after_its_caller_left_quarantines_it(self):
+        async def play():
+            await self.leave(respond_after(asyncio.Event()))
+            node = self.bench.nodes[1]
+            self.bench.upstreams[1].crash()
+            while self.standing(node, "/read/one") is not Standing.QUARANTINED:
+                await asyncio.sleep(0.005)
+            return node.ingress.upstream_crashes
+
+        self.assertEqual(self.bench.run(play()), 1)
+
+    def test_a_crash_after_its_deadline_quarantines_it(self):
+        async def play():
+            doc = make_document(read={"deadline_ms": 200})
+            await self.leave(respond_after(asyncio.Event()), doc)
+            await asyncio.sleep(0.5)
+            node = self.bench.nodes[1]
+            self.bench.upstreams[1].crash()
+            while self.standing(node, "/read/one") is not Standing.QUARANTINED:
+                await asyncio.sleep(0.005)
+            return node.ingress.upstream_crashes
+
+        self.assertEqual(self.bench.run(play()), 1)
+
     def test_it_is_sent_to_one_upstream_only(self):
         release = asyncio.Event()
 
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -88,6 +88,18 @@
             end(self.table, 10.0 + step / 10, *OTHER, began=9.9)
         self.assertEqual(self.standing(OTHER, 11.0), Standing.WATCHED)
 
+    def test_a_run_cancelled_before_each_end_makes_a_request_watched_at_most(self):
+        for at in (10.0, 12.0, 14.0, 16.0):
+            self.table.record_crash([CrashedRun(OTHER[0], 0.1, False, True)], at, HOLD_S)
+        self.assertEqual(self.standing(OTHER, 16.2), Standing.WATCHED)
+        self.assertTrue(self.table.clear(OTHER[0]))
+
+    def test_a_running_one_counts_beside_a_cancelled_one_of_the_same_request(self):
+        runs = [CrashedRun(FATAL[0], 0.5, False, True), CrashedRun(FATAL[0], 0.1, False)]
+        for at in (10.0, 12.0, 14.0):
+            self.table.record_crash(runs, at, HOLD_S)
+        self.assertEqual(self.standing(FATAL, 14.2), Standing.QUARANTINED)
+
     def test_clearing_a_request_resets_its_count(self):
         for at in (10.0, 11.0, 12.0):
             end(self.table, at, *FATAL)
