Accept only the canonical encoding of a call token

A call token whose last character before the padding was changed was accepted as if it were the signed one: the decoder ignores the unused low bits of that character, and characters outside its alphabet. The context was the signed one, so that no caller gained by it; the text was not the one that was signed.

A token is refused unless encoding the decoded bytes gives the same text.

--- a/src/marjoramvalve/retries/tokens.py
+++ b/src/marjoramvalve/retries/tokens.py
@@ -49,6 +49,8 @@
             signed = base64.urlsafe_b64decode(text.encode())
         except (binascii.Error, ValueError):
             return None
+        if base64.urlsafe_b64encode(signed).decode() != text:  # The decoder ignores some bits.
+            return None
         raw = signed[MAC_BYTES:]
         if not hmac.compare_digest(signed[:MAC_BYTES], self._mac(raw)):
             return None
