Refuse request frames without a sound head or request ID

An ingress took a request frame whose head was no request line with header lines, and sent it to the upstream as it was. When the upstream closed the connection, reading the head for its fingerprint raised an exception: the call was not answered and held its slot until its deadline. A frame without a request ID was answered with any response, whichever request it belonged to.

Such a frame ends its stream, as one that is cut short does.

tests.test_malformed_frames...test_request_without_a_sound_head_or_id_closes_its_stream failed before and passes; test_mesh, test_simulated_links and test_planned_stops pass.

--- a/src/marjoramvalve/mesh/sessions.py
+++ b/src/marjoramvalve/mesh/sessions.py
@@ -43,6 +43,13 @@
 log = structlog.get_logger("sessions")
 
 
+def _is_head(head: bytes) -> bool:
+    """Returns whether this is a request line with whole header lines, without their end."""
+    line, end, _ = head.partition(b"\r\n")
+    is_whole = bool(end) and head.endswith(end) and end + end not in head
+    return is_whole and line.count(b" ") == 2
+
+
 class Session:
     """The calls of one egress process and their recent outcomes."""
 
@@ -304,8 +311,9 @@
         offset += route_len
         attempt = payload[offset : offset + attempt_len]
         offset += attempt_len
-        if offset + head_len > len(payload):
-            log.warning("request.cut_short", peer=session.name, bytes=len(payload))
+        head = payload[offset : offset + head_len]
+        if len(head) < head_len or not attempt or not _is_head(head):
+            log.warning("request.invalid", peer=session.name, bytes=len(payload))
             session.stream.abort()
             return
         now = self.loop.time()
@@ -314,7 +322,7 @@
             call_id,
             route,
             attempt,
-            payload[offset : offset + head_len],
+            head,
             payload[offset + head_len :],
             now + until_deadline_ms / 1000,
             now + until_objective_ms / 1000,
--- a/tests/test_malformed_frames.py
+++ b/tests/test_malformed_frames.py
@@ -7,6 +7,7 @@
 import unittest
 import zlib
 from pathlib import Path
+from unittest import mock
 
 import msgspec
 
@@ -32,7 +33,7 @@
 from marjoramvalve.links import MAX_FRAME_BYTES, Listener, connect_stream, is_address
 from marjoramvalve.links.frames import HEADER
 from marjoramvalve.mesh import RootCallLimiter
-from marjoramvalve.mesh.frames import ERROR, ErrorCode, FrameType, Hello
+from marjoramvalve.mesh.frames import ERROR, REQUEST, ErrorCode, FrameType, Hello
 from marjoramvalve.node import LoadMeter
 from marjoramvalve.telemetry import set_up_logs
 from tests.meshes import ok_response, respond_immediately
@@ -265,6 +266,35 @@
         self.assertEqual(self.bench.run(play()), [200] * len(frames))
         self.assertEqual(len(self.received_requests), len(frames))
 
+    def test_request_without_a_sound_head_or_id_closes_its_stream(self):
+        heads = (
+            b"",
+            b"\xff",
+            b"GET /read/ HTTP/1.1",
+            b"GET /read/\r\n",
+            b"GET\r\nX: a b\r\n",
+            b"GET /read/ HTTP/1.1\r\nX: a",
+            b"GET /read/ HTTP/1.1\r\n\r\nGET /read/ HTTP/1.1\r\n",
+        )
+        sound = b"GET /read/ HTTP/1.1\r\n"
+
+        async def play():
+            await self.connect_pair(respond_immediately)
+            sessions = self.bench.nodes[1].sessions
+            closed = []
+            for number, (head, attempt) in enumerate([*((h, b"a1") for h in heads), (sound, b"")]):
+                hello = Hello(70 + number, "stranger", "d")
+                stream = mock.Mock(owner_data=None)
+                frame = REQUEST.pack(1, 9000, 9000, 0, 1, 0, 4, len(attempt), len(head))
+                sessions.stream_frame(stream, FrameType.HELLO, msgspec.msgpack.encode(hello))
+                sessions.stream_frame(stream, FrameType.REQUEST, frame + b"read" + attempt + head)
+                closed.append((stream.abort.call_count, stream.owner_data.jobs))
+            return closed, self.bench.nodes[1].ingress.load
+
+        closed, load = self.bench.run(play())
+        self.assertEqual(closed, [(1, {})] * (len(heads) + 1))
+        self.assertEqual((load, self.received_requests), ((0, 0), []))
+
     def test_call_is_answered_when_its_error_code_is_unknown(self):
         async def play(kind):
             caller = await self.connect_pair(respond_immediately)
