Refuse health paths that break the request of the check

A configuration with a health path that is relative, or contains spaces or line ends, was accepted. The health check of each upstream was then no valid request, or several.

--- a/src/marjoramvalve/model/documents.py
+++ b/src/marjoramvalve/model/documents.py
@@ -11,6 +11,7 @@
 
 PRIORITIES = ("low", "normal", "high")
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,127}")
+PROBE_PATH_PATTERN = re.compile(r"/[^\x00-\x20\x7f]*")
 DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}")
 KEY_DIGEST_PERSON = b"marjoramvalvekey"
 MAX_RATE = 1e7  # Rates in calls a second, bursts in calls.
@@ -256,6 +257,10 @@
     for name, service in doc.services.items():
         path = f"/services/{name}/connections"
         faults += _range_faults(path, service.connections, 1, MAX_CONNECTIONS)
+        if not PROBE_PATH_PATTERN.fullmatch(service.health_path):
+            path = f"/services/{name}/health_path"
+            message = "path does not start with / or contains spaces"
+            faults.append(Fault("model.E015", path, service.health_path, message))
     for field in CallerLimits.__struct_fields__:
         value = getattr(doc.callers, field)
         faults += _range_faults(f"/callers/{field}", value, 1, MAX_CALLER_LIMIT)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -124,6 +124,18 @@
             with self.subTest(name):
                 self.assertIsInstance(parse_config(raw, 5), Err)
 
+    def test_health_path_that_breaks_its_request_is_rejected(self):
+        for path in ("healthz", " ", "/a b", "/\r\nX: y", "/\x7f", "http://a/"):
+            services = [{"name": "s1", "healthPath": path}, {"name": "s2"}]
+            with self.subTest(path):
+                self.assertIsInstance(parse_config(config(services=services), 5), Err)
+
+    def test_empty_health_path_is_that_of_a_service_without_one(self):
+        services = [{"name": "s1", "healthPath": ""}, {"name": "s2"}]
+        command = parse_config(config(services=services), 5).value
+        document = unpack_document(command.document)
+        self.assertEqual(document.services["s1"].health_path, document.services["s2"].health_path)
+
     def test_unknown_fields_are_ignored(self):
         self.assertIsInstance(parse_config(config(future={"a": 1}, path={"x": 2}), 5), Ok)
 
