Refuse a second HELLO on a stream

A stream that sent another HELLO was given to a second session; when it closed, only that one was told. The first session stayed attached to the dead stream, was never forgotten, and its outcomes went nowhere. No node sends two.

A second HELLO ends its stream and changes nothing else.

tests.test_malformed_frames...test_second_hello_on_a_stream_is_refused failed before and passes.

--- a/src/marjoramvalve/mesh/sessions.py
+++ b/src/marjoramvalve/mesh/sessions.py
@@ -273,6 +273,9 @@
             session.on_pong()
         elif kind == FrameType.RESUME and session is not None:
             session.resume([item[0] for item in CALL_ID.iter_unpack(payload)])
+        elif kind == FrameType.HELLO and session is not None:
+            log.warning("hello.repeated", peer=session.name)
+            stream.abort()
         elif kind == FrameType.HELLO:
             self._on_hello(stream, msgspec.msgpack.decode(payload, type=Hello))
 
--- a/tests/test_malformed_frames.py
+++ b/tests/test_malformed_frames.py
@@ -33,7 +33,13 @@
 from marjoramvalve.links import MAX_FRAME_BYTES, Listener, connect_stream, is_address
 from marjoramvalve.links.frames import HEADER
 from marjoramvalve.mesh import RootCallLimiter
-from marjoramvalve.mesh.frames import ERROR, REQUEST, ErrorCode, FrameType, Hello
+from marjoramvalve.mesh.frames import (
+    ERROR,
+    REQUEST,
+    ErrorCode,
+    FrameType,
+    Hello,
+)
 from marjoramvalve.node import LoadMeter
 from marjoramvalve.telemetry import set_up_logs
 from tests.meshes import ok_response, respond_immediately
@@ -295,6 +301,24 @@
         self.assertEqual(closed, [(1, {})] * (len(heads) + 1))
         self.assertEqual((load, self.received_requests), ((0, 0), []))
 
+    def test_second_hello_on_a_stream_is_refused(self):
+        async def play(session):
+            await self.connect_pair(respond_immediately)
+            sessions = self.bench.nodes[1].sessions
+            stream = mock.Mock(owner_data=None)
+            for hello in (Hello(70, "stranger", "d"), Hello(session, "other", "d")):
+                sessions.stream_frame(stream, FrameType.HELLO, msgspec.msgpack.encode(hello))
+            refused = stream.abort.call_count
+            sessions.stream_closed(stream)
+            streams = {number: item.stream for number, item in sessions._sessions.items()}
+            return refused, streams.get(70), 71 in streams
+
+        for session in (70, 71):
+            with self.subTest(session):
+                self.assertEqual(self.bench.run(play(session)), (1, None, False))
+                self.doCleanups()
+                self.setUp()
+
     def test_call_is_answered_when_its_error_code_is_unknown(self):
         async def play(kind):
             caller = await self.connect_pair(respond_immediately)
