Refuse rates in HELLO and WELCOME that no upstream can announce

The rate that a node remembers of an upstream was taken as it came. With a negative rate, the reports of the node beside that upstream were dropped by every controller that reads them; one that is no number kept the rates that other nodes remember from being adopted.

The rate in the notice is from 0 to 1e12, the most that a header can announce; other frames end their stream.

tests.test_malformed_frames...test_invalid_rate_in_a_hello_is_refused failed before and passes.

--- a/src/marjoramvalve/mesh/frames.py
+++ b/src/marjoramvalve/mesh/frames.py
@@ -2,10 +2,12 @@
 
 import struct
 from enum import IntEnum
+from typing import Annotated
 
 import msgspec
 
 MAX_CALL_ID = (1 << 64) - 1
+MAX_RATE_PER_S = 1e12  # The highest that an upstream can announce.
 
 
 class FrameType(IntEnum):
@@ -52,7 +54,7 @@
 
     instance: str = ""
     started_at_ms: int = 0
-    rate_per_s: float | None = None
+    rate_per_s: Annotated[float, msgspec.Meta(ge=0, le=MAX_RATE_PER_S)] | None = None
     is_leaving: bool = False
 
 
--- a/tests/test_malformed_frames.py
+++ b/tests/test_malformed_frames.py
@@ -39,6 +39,7 @@
     ErrorCode,
     FrameType,
     Hello,
+    UpstreamNotice,
 )
 from marjoramvalve.node import LoadMeter
 from marjoramvalve.telemetry import set_up_logs
@@ -319,6 +320,19 @@
                 self.doCleanups()
                 self.setUp()
 
+    def test_invalid_rate_in_a_hello_is_refused(self):
+        async def play():
+            await self.connect_pair(respond_immediately)
+            node = self.bench.nodes[1]
+            for rate in (NAN, INFINITE, -INFINITE, -1.0, 1e300):
+                notice = UpstreamNotice("i-n1", 1, rate)
+                hello = msgspec.msgpack.encode(Hello(70, "stranger", "d", notice))
+                with self.subTest(rate), self.assertRaises(msgspec.ValidationError):
+                    node.sessions.stream_frame(mock.Mock(owner_data=None), FrameType.HELLO, hello)
+            return node.ingress.rate_limiter.announced_per_s
+
+        self.assertIsNone(self.bench.run(play()))
+
     def test_call_is_answered_when_its_error_code_is_unknown(self):
         async def play(kind):
             caller = await self.connect_pair(respond_immediately)
