Fail a call whose response frame is cut short or has no final status

An egress took a response frame whose head breaks off for whole: the caller got the rest of it as a complete response with the status of the upstream. A frame with an interim status, or one that is no status, was sent to the caller as it was, which left the caller waiting or unable to read it.

Such a frame fails its call at once, as an unknown error code does: 502, the request may have run.

tests.test_malformed_frames...test_response_cut_short_is_not_taken_for_whole and ...test_response_without_a_final_status_is_an_error failed before and pass.

--- a/src/marjoramvalve/mesh/peers.py
+++ b/src/marjoramvalve/mesh/peers.py
@@ -38,6 +38,7 @@
 WELCOME_TIMEOUT_S = 1.0  # A new link without a WELCOME frame in this time is aborted.
 PING_INTERVAL_S = 0.25  # Silence on a link with active calls before a ping.
 LINK_TIMEOUT_S = 0.9  # Silence before a reconnect: three unanswered pings.
+FINAL_STATUSES = range(200, 1000)
 
 log = structlog.get_logger("peers")
 
@@ -346,10 +347,15 @@
         call_id, status, service_ms, running, waiting, head_len = RESPONSE.unpack_from(payload)
         call = self._pop_call(call_id)
         self.stats.record_load(running, waiting, self._loop.time())
-        if call is not None:
-            split = RESPONSE.size + head_len
-            head, body = payload[RESPONSE.size : split], payload[split:]
-            self._callbacks.call_completed(self, call, status, head, body, service_ms / 1000)
+        if call is None:
+            return
+        split = RESPONSE.size + head_len
+        if split > len(payload) or status not in FINAL_STATUSES:
+            log.warning("response.invalid", peer=self.name, status=status, bytes=len(payload))
+            self._callbacks.call_failed(self, call, ErrorCode.BROKEN)
+            return
+        head, body = payload[RESPONSE.size : split], payload[split:]
+        self._callbacks.call_completed(self, call, status, head, body, service_ms / 1000)
 
     def _on_error(self, kind: int, payload: bytes) -> None:
         call_id, code, after_ms, running, waiting = ERROR.unpack(payload)
--- a/tests/test_malformed_frames.py
+++ b/tests/test_malformed_frames.py
@@ -34,6 +34,7 @@
 from marjoramvalve.links.frames import HEADER
 from marjoramvalve.mesh import RootCallLimiter
 from marjoramvalve.mesh.frames import (
+    CALL_ID,
     ERROR,
     REQUEST,
     ErrorCode,
@@ -333,6 +334,35 @@
 
         self.assertIsNone(self.bench.run(play()))
 
+    def response_to_call(self, payload):
+        """Returns the response to a call whose ingress sends this frame after the call ID."""
+
+        async def play():
+            caller = await self.connect_pair(respond_immediately)
+            (peer,) = self.bench.nodes[0].egress.peers.remote.values()
+            peer._stream.send = lambda *frame: None
+            caller.send("/order/", "a1")
+            while not peer.calls:
+                await asyncio.sleep(0.005)
+            (call_id,) = peer.calls
+            peer.stream_frame(peer._stream, FrameType.RESPONSE, CALL_ID.pack(call_id) + payload)
+            return await caller.read_response()
+
+        return self.bench.run(play())
+
+    def test_response_cut_short_is_not_taken_for_whole(self):
+        head = b"Content-Type: text/plain\r\n"
+        payload = struct.pack("<HIHHI", 200, 1, 0, 0, len(head)) + head[:12]
+        self.assertEqual(self.response_to_call(payload)[0], 502)
+
+    def test_response_without_a_final_status_is_an_error(self):
+        for status in (0, 100, 199, 1000, 65535):
+            with self.subTest(status):
+                payload = struct.pack("<HIHHI", status, 1, 0, 0, 0)
+                self.assertEqual(self.response_to_call(payload)[0], 502)
+                self.doCleanups()
+                self.setUp()
+
     def test_call_is_answered_when_its_error_code_is_unknown(self):
         async def play(kind):
             caller = await self.connect_pair(respond_immediately)
