Refuse a second Host header behind an empty one

A request with an empty Host header and another one was passed on with both; RFC 9112 asks for a refusal of any second one. The check looked at the value of the first, not at whether there was one.

tests.test_odd_heads...test_second_host_behind_an_empty_one_is_refused failed before (200) and passes.

--- a/src/marjoramvalve/h1/callers.py
+++ b/src/marjoramvalve/h1/callers.py
@@ -247,7 +247,7 @@
                 request.deadline_ms = int(value) if value.isdigit() else None
             case "key":
                 request.key = value
-            case "host" if request.host:
+            case "host" if request.host or b"Host: \r\n" in self._header_lines:
                 self._fail(400, b"request has two Host headers")
             case "host":
                 request.host = value
