Serve requests with deadlines of any number of digits

A request whose deadline has more than 308 digits was answered with 500 and a logged exception, as the number is beyond a float; above 4,300 digits it was answered with 400.

Leading zeros are dropped and the first twelve digits taken: any longer number is further away than the longest deadline of a route, which then holds.

tests.test_odd_heads...test_deadline_of_any_length_is_one_that_never_comes failed before and passes.

--- a/src/marjoramvalve/h1/callers.py
+++ b/src/marjoramvalve/h1/callers.py
@@ -29,6 +29,7 @@
 SEND_TIMEOUT_S = 20.0
 LINGER_S = 1.0  # How long a caller has to close a connection after the last response on it.
 MAX_CHUNK_OVERHEAD = 8  # Framing bytes per body byte; enough for chunks of one byte.
+MAX_DEADLINE_DIGITS = 12  # The rest is cut off: any deadline of that length is far away.
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 log = structlog.get_logger("callers")
@@ -244,7 +245,8 @@
             case "attempt":
                 request.attempt = value
             case "deadline":
-                request.deadline_ms = int(value) if value.isdigit() else None
+                digits = value.lstrip(b"0")[:MAX_DEADLINE_DIGITS]
+                request.deadline_ms = int(digits or 0) if value.isdigit() else None
             case "key":
                 request.key = value
             case "host" if request.host or b"Host: \r\n" in self._header_lines:
--- a/tests/test_odd_heads.py
+++ b/tests/test_odd_heads.py
@@ -1,6 +1,6 @@
 """Heads whose fields are doubled, or hold numbers and texts beyond what others can take."""
 
-from tests.meshes import REQUEST_ID, respond_immediately
+from tests.meshes import REQUEST_ID, header_value, respond_immediately
 from tests.test_mesh import MeshTestCase
 
 NINES = (19, 30, 400, 5000)
@@ -31,3 +31,22 @@
                 self.assertEqual(self.received_requests, [])
                 self.doCleanups()
                 self.setUp()
+
+    def test_deadline_of_any_length_is_one_that_never_comes(self):
+        for digits in NINES:
+            for zeros in (0, 9):
+                with self.subTest(digits=digits, zeros=zeros):
+                    deadline = "0" * zeros + "9" * digits
+                    fields = (f"{REQUEST_ID}: a1", f"Marjoramvalve-Deadline-Ms: {deadline}")
+                    self.assertEqual(self.request("Host: any", *fields)[0], 200)
+                    left_ms = header_value(self.received_requests[0], "Marjoramvalve-Deadline-Ms")
+                    self.assertGreater(int(left_ms), 1000)
+                    self.doCleanups()
+                    self.setUp()
+
+    def test_small_deadline_behind_many_zeros_is_kept(self):
+        deadline = "0" * 30 + "700"
+        fields = (f"{REQUEST_ID}: a1", f"Marjoramvalve-Deadline-Ms: {deadline}")
+        self.assertEqual(self.request("Host: any", *fields)[0], 200)
+        left_ms = header_value(self.received_requests[0], "Marjoramvalve-Deadline-Ms")
+        self.assertLessEqual(int(left_ms), 700)
