Refuse request IDs that are too long for a frame

With a limit on heads above 64 KB, a request with an ID of more than 65,535 bytes was answered with 500 and a logged exception when it was sent to another node, and its call was held until its deadline.

It is refused with 400, as a request without an ID is.

tests.test_odd_heads...test_request_id_too_long_for_a_frame_is_refused failed before and passes.

--- a/src/marjoramvalve/mesh/egress.py
+++ b/src/marjoramvalve/mesh/egress.py
@@ -12,7 +12,7 @@
 from marjoramvalve.mesh.balancing import RouteStats, choose_endpoint
 from marjoramvalve.mesh.budgets import RetryBudget
 from marjoramvalve.mesh.calls import Call
-from marjoramvalve.mesh.frames import ErrorCode, Hello
+from marjoramvalve.mesh.frames import MAX_U16, ErrorCode, Hello
 from marjoramvalve.mesh.ingress import Ingress
 from marjoramvalve.mesh.jobs import Job
 from marjoramvalve.mesh.limiters import CustomerRateLimiter, OrderKeeper, RootCallAdmission
@@ -174,7 +174,7 @@
             else:
                 self._refuse_request(request, Reason.STALE_CONFIG, 503, NO_CONFIG_RETRY_AFTER_S)
             return
-        if not request.attempt:
+        if not 0 < len(request.attempt) <= MAX_U16:
             self._refuse_request(request, Reason.BAD_REQUEST, 400, 0.0)
             return
         call = Call(next(self._call_ids), request, target)
--- a/tests/test_odd_heads.py
+++ b/tests/test_odd_heads.py
@@ -50,3 +50,10 @@
         self.assertEqual(self.request("Host: any", *fields)[0], 200)
         left_ms = header_value(self.received_requests[0], "Marjoramvalve-Deadline-Ms")
         self.assertLessEqual(int(left_ms), 700)
+
+    def test_request_id_too_long_for_a_frame_is_refused(self):
+        attempt = "a" * 66_000
+        status, _, body = self.request("Host: any", f"{REQUEST_ID}: {attempt}", limit_bytes=200_000)
+        self.assertEqual(status, 400, body)
+        self.assertEqual(self.received_requests, [])
+        self.assertEqual(self.bench.nodes[0].egress.active_calls, 0)
