Take no slot count from a health check that is out of range

A health check that named more slots than 64 bits hold gave the upstream a state that could not be told to any node: every link to its node broke at its first frame. With more digits than a float or an integer takes, reading the count raised an exception, and no health check was sent any more.

A count above a million, the most that a heartbeat may name, is none.

tests.test_odd_heads.HealthCheckTests...test_slot_count_out_of_range_is_no_state failed before and passes.

--- a/src/marjoramvalve/h1/upstreams.py
+++ b/src/marjoramvalve/h1/upstreams.py
@@ -23,6 +23,7 @@
 MAX_CHUNK_OVERHEAD = 8  # Framing bytes per body byte; enough for chunks of one byte.
 MAX_BUFFERED_BYTES = 96 << 20  # Bodies of all responses in progress, over all connections.
 MAX_REFUSED = 256  # Refused requests after which a connection is no longer used.
+MAX_SLOTS = 1_000_000  # The most that an upstream can have.
 MISDIRECTED = 421
 
 FORWARDED_FIELDS = frozenset({"attempt", "rate_limit", "leaving"})  # Read, and passed on as well.
@@ -30,6 +31,16 @@
 log = structlog.get_logger("upstreams")
 
 
+def _parse_slots(load: bytes) -> int:
+    """Returns the slot count in the value of a load header, 0 if it names none or too many."""
+    parts = load.split(b",")
+    digits = parts[2].strip().lstrip(b"0") if len(parts) == 3 else b""
+    if not digits.isdigit() or len(digits) > len(str(MAX_SLOTS)):
+        return 0
+    slots = int(digits)
+    return slots if slots <= MAX_SLOTS else 0
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamResponse:
     """A complete response.
@@ -417,15 +428,14 @@
 
         The response is None if there was none. The instance is empty if the upstream is not
         healthy. The load header holds the running requests, the waiting requests and the slots,
-        separated by commas; without it the slot count is 0.
+        separated by commas; without it, or with a count that is too high, the slot count is 0.
         """
         exchange = Exchange(
             raw, b"", True, False, lambda response: None, lambda detail, failure: None
         )
 
         def on_response(response: UpstreamResponse) -> None:
-            parts = response.load.split(b",")
-            slots = int(parts[2]) if len(parts) == 3 and parts[2].strip().isdigit() else 0
+            slots = _parse_slots(response.load)
             instance = response.instance.decode("latin-1") if response.status == 200 else ""
             on_done(response, instance, slots)
 
--- a/tests/test_odd_heads.py
+++ b/tests/test_odd_heads.py
@@ -1,5 +1,9 @@
 """Heads whose fields are doubled, or hold numbers and texts beyond what others can take."""
 
+import asyncio
+
+from marjoramvalve.h1.upstreams import MAX_SLOTS
+from marjoramvalve.mesh import UpstreamState
 from tests.meshes import REQUEST_ID, header_value, respond_immediately
 from tests.test_mesh import MeshTestCase
 
@@ -57,3 +61,37 @@
         self.assertEqual(status, 400, body)
         self.assertEqual(self.received_requests, [])
         self.assertEqual(self.bench.nodes[0].egress.active_calls, 0)
+
+
+class HealthCheckTests(MeshTestCase):
+    """Heads of responses to health checks."""
+
+    def probe(self, slots):
+        """Returns the state of an ingress after a health check that names so many slots."""
+
+        async def respond(request, writer):
+            fields = f"Marjoramvalve-Instance: i\r\nMarjoramvalve-Load: 0,0,{slots}\r\n"
+            writer.write(f"HTTP/1.1 200 OK\r\n{fields}Content-Length: 0\r\n\r\n".encode())
+
+        async def play():
+            node = await self.bench.add_node(respond)
+            node.ingress.state = UpstreamState()
+            node.ingress.probe("/")
+            while not self.bench.upstreams[0].requests:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.1)
+            node.sessions._welcome_payload()
+            return node.ingress._is_probing, node.ingress.state
+
+        return self.bench.run(play())
+
+    def test_slot_count_out_of_range_is_no_state(self):
+        for slots in (0, MAX_SLOTS + 1, *("9" * digits for digits in NINES)):
+            with self.subTest(str(slots)[:40]):
+                self.assertEqual(self.probe(slots), (False, UpstreamState()))
+                self.doCleanups()
+                self.setUp()
+
+    def test_largest_slot_count_is_taken(self):
+        is_probing, state = self.probe(MAX_SLOTS)
+        self.assertEqual((is_probing, state.slots, state.ready), (False, MAX_SLOTS, True))
