--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -136,6 +136,12 @@
         document = unpack_document(command.document)
         self.assertEqual(document.services["s1"].health_path, document.services["s2"].health_path)
 
+    def test_rate_below_zero_is_not_taken_for_none(self):
+        for rate in (-1, -1e300, "nan", "-inf"):
+            tenants = [{"name": "t1", "apiKeys": ["k1"], "ratePerS": rate, "burst": 1}]
+            with self.subTest(rate):
+                self.assertIsInstance(parse_config(config(tenants=tenants), 5), Err)
+
     def test_unknown_fields_are_ignored(self):
         self.assertIsInstance(parse_config(config(future={"a": 1}, path={"x": 2}), 5), Ok)
 
