--- a/tests/test_malformed_frames.py
+++ b/tests/test_malformed_frames.py
@@ -7,6 +7,7 @@
 import unittest
 import zlib
 from pathlib import Path
+from unittest import mock
 
 import msgspec
 
@@ -32,7 +33,15 @@
 from marjoramvalve.links import MAX_FRAME_BYTES, Listener, connect_stream, is_address
 from marjoramvalve.links.frames import HEADER
 from marjoramvalve.mesh import RootCallLimiter
-from marjoramvalve.mesh.frames import ERROR, ErrorCode, FrameType, Hello
+from marjoramvalve.mesh.frames import (
+    CALL_ID,
+    ERROR,
+    REQUEST,
+    ErrorCode,
+    FrameType,
+    Hello,
+    UpstreamNotice,
+)
 from marjoramvalve.node import LoadMeter
 from marjoramvalve.telemetry import set_up_logs
 from tests.meshes import ok_response, respond_immediately
@@ -265,6 +274,95 @@
         self.assertEqual(self.bench.run(play()), [200] * len(frames))
         self.assertEqual(len(self.received_requests), len(frames))
 
+    def test_request_without_a_sound_head_or_id_closes_its_stream(self):
+        heads = (
+            b"",
+            b"\xff",
+            b"GET /read/ HTTP/1.1",
+            b"GET /read/\r\n",
+            b"GET\r\nX: a b\r\n",
+            b"GET /read/ HTTP/1.1\r\nX: a",
+            b"GET /read/ HTTP/1.1\r\n\r\nGET /read/ HTTP/1.1\r\n",
+        )
+        sound = b"GET /read/ HTTP/1.1\r\n"
+
+        async def play():
+            await self.connect_pair(respond_immediately)
+            sessions = self.bench.nodes[1].sessions
+            closed = []
+            for number, (head, attempt) in enumerate([*((h, b"a1") for h in heads), (sound, b"")]):
+                hello = Hello(70 + number, "stranger", "d")
+                stream = mock.Mock(owner_data=None)
+                frame = REQUEST.pack(1, 9000, 9000, 0, 1, 0, 4, len(attempt), len(head))
+                sessions.stream_frame(stream, FrameType.HELLO, msgspec.msgpack.encode(hello))
+                sessions.stream_frame(stream, FrameType.REQUEST, frame + b"read" + attempt + head)
+                closed.append((stream.abort.call_count, stream.owner_data.jobs))
+            return closed, self.bench.nodes[1].ingress.load
+
+        closed, load = self.bench.run(play())
+        self.assertEqual(closed, [(1, {})] * (len(heads) + 1))
+        self.assertEqual((load, self.received_requests), ((0, 0), []))
+
+    def test_second_hello_on_a_stream_is_refused(self):
+        async def play(session):
+            await self.connect_pair(respond_immediately)
+            sessions = self.bench.nodes[1].sessions
+            stream = mock.Mock(owner_data=None)
+            for hello in (Hello(70, "stranger", "d"), Hello(session, "other", "d")):
+                sessions.stream_frame(stream, FrameType.HELLO, msgspec.msgpack.encode(hello))
+            refused = stream.abort.call_count
+            sessions.stream_closed(stream)
+            streams = {number: item.stream for number, item in sessions._sessions.items()}
+            return refused, streams.get(70), 71 in streams
+
+        for session in (70, 71):
+            with self.subTest(session):
+                self.assertEqual(self.bench.run(play(session)), (1, None, False))
+                self.doCleanups()
+                self.setUp()
+
+    def test_invalid_rate_in_a_hello_is_refused(self):
+        async def play():
+            await self.connect_pair(respond_immediately)
+            node = self.bench.nodes[1]
+            for rate in (NAN, INFINITE, -INFINITE, -1.0, 1e300):
+                notice = UpstreamNotice("i-n1", 1, rate)
+                hello = msgspec.msgpack.encode(Hello(70, "stranger", "d", notice))
+                with self.subTest(rate), self.assertRaises(msgspec.ValidationError):
+                    node.sessions.stream_frame(mock.Mock(owner_data=None), FrameType.HELLO, hello)
+            return node.ingress.rate_limiter.announced_per_s
+
+        self.assertIsNone(self.bench.run(play()))
+
+    def response_to_call(self, payload):
+        """Returns the response to a call whose ingress sends this frame after the call ID."""
+
+        async def play():
+            caller = await self.connect_pair(respond_immediately)
+            (peer,) = self.bench.nodes[0].egress.peers.remote.values()
+            peer._stream.send = lambda *frame: None
+            caller.send("/order/", "a1")
+            while not peer.calls:
+                await asyncio.sleep(0.005)
+            (call_id,) = peer.calls
+            peer.stream_frame(peer._stream, FrameType.RESPONSE, CALL_ID.pack(call_id) + payload)
+            return await caller.read_response()
+
+        return self.bench.run(play())
+
+    def test_response_cut_short_is_not_taken_for_whole(self):
+        head = b"Content-Type: text/plain\r\n"
+        payload = struct.pack("<HIHHI", 200, 1, 0, 0, len(head)) + head[:12]
+        self.assertEqual(self.response_to_call(payload)[0], 502)
+
+    def test_response_without_a_final_status_is_an_error(self):
+        for status in (0, 100, 199, 1000, 65535):
+            with self.subTest(status):
+                payload = struct.pack("<HIHHI", status, 1, 0, 0, 0)
+                self.assertEqual(self.response_to_call(payload)[0], 502)
+                self.doCleanups()
+                self.setUp()
+
     def test_call_is_answered_when_its_error_code_is_unknown(self):
         async def play(kind):
             caller = await self.connect_pair(respond_immediately)
