Let the test of a moved call wait for events instead of times

Beside load (18 on eight cores) it failed once with 2 runs at the first upstream instead of 1: the first call, 0.1 s long, was over before the test had made the upstream unready, so that the queued call had been started there. The test waits for the call to be queued and ends the first call only after that; the expectations are the same.

--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -16,6 +16,7 @@
     make_document,
     ok_response,
     reset_connection,
+    respond_after,
     respond_immediately,
 )
 
@@ -380,20 +381,21 @@
         self.assertEqual(len(self.received_requests), 1)
 
     def test_queued_call_moves_when_upstream_becomes_unready(self):
-        async def slow(request, writer):
-            await asyncio.sleep(0.1)
-            writer.write(ok_response(request))
+        is_unready = asyncio.Event()
 
         async def scenario():
-            caller = await self.connect_pair(slow, slots=1)
+            caller = await self.connect_pair(respond_after(is_unready), slots=1)
             other = await self.bench.connect_caller(self.bench.nodes[0])
             await self.bench.add_node(respond_immediately)
             caller.send("/read/", "a1")
-            await asyncio.sleep(0.03)
+            while not self.received_requests:
+                await asyncio.sleep(0.005)
             other.send("/read/", "a2")
-            await asyncio.sleep(0.03)
+            while not self.bench.nodes[1].ingress.load[1]:
+                await asyncio.sleep(0.005)
             await self.bench.connect_nodes()
             self.bench.set_upstream_state(self.bench.nodes[1], "i-n1", 1, ready=False)
+            is_unready.set()
             return (await caller.read_response())[0], (await other.read_response())[0]
 
         self.assertEqual(self.bench.run(scenario()), (200, 200))
