Fuzz the input of nodes from outside

tests.test_fuzz draws heartbeats, deregistrations, configurations, frames of the link both ways and heads of callers and upstreams, on virtual time: no handler ends with an exception, answers come within a second, and what is refused changes no state.

--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,10 @@
 soak: install
 	SOAK=1 $(BIN)/nose2 -s tests -t . tests.test_consensus tests.test_repairs
 
+.PHONY: fuzz
+fuzz: install
+	FUZZ_EXAMPLES=5000 FUZZ_SEED=1 env $(ARGS) $(BIN)/nose2 -s tests -t . tests.test_fuzz
+
 .PHONY: soak-faults
 soak-faults: install
 	$(BIN)/python -m tests.soak $(ARGS)
