--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -8,7 +8,6 @@
 import json
 import os
 import random
-import re
 import signal
 import socket
 import subprocess
@@ -55,7 +54,7 @@
 HOST, KEY, TENANT = "hulo84.example", "6wsjnbanfqasnmgkcuyj", "pulo780"
 
 
-class CannotRun(Exception):
+class SetupError(Exception):
     """The case could not be set up."""
 
 
@@ -180,7 +179,7 @@
                 return prefix
             except OSError:
                 continue
-        raise CannotRun("no free loopback addresses")
+        raise SetupError("no free loopback addresses")
 
     def address(self, number: int) -> str:
         """Returns the address of a machine."""
@@ -321,7 +320,7 @@
                     self.record.write("the configuration is acknowledged")
                     return
             await asyncio.sleep(0.2)
-        raise CannotRun("the configuration was not acknowledged")
+        raise SetupError("the configuration was not acknowledged")
 
     async def wait_ready(self, *numbers: int, limit_s: float = 20) -> None:
         """Waits until nodes say that they are ready."""
@@ -329,7 +328,7 @@
         for number in numbers:
             while (await self.ask(number, READY, "GET", "/readyz")).status != 200:
                 if time.monotonic() > deadline:
-                    raise CannotRun(f"machine {number} does not become ready")
+                    raise SetupError(f"machine {number} does not become ready")
                 await asyncio.sleep(0.1)
 
     async def call(self, number, method, path, attempt, body=b"", deadline_ms=5000, **options):
@@ -480,7 +479,7 @@
             fleet.record.write(verdict)
             print("\n".join((*breaks[:SHOWN_BREAKS], verdict)))
             return 1 if breaks else 0
-        except (CannotRun, TimeoutError, OSError) as exc:
+        except (SetupError, TimeoutError, OSError) as exc:
             fleet.record.write(f"the case could not run: {exc!r}")
             print(f"the case could not run: {exc!r}")
             return 2
@@ -499,7 +498,15 @@
     return counts
 
 
-ID_PATTERN = re.compile(r"[0-9a-f]{16}")
+def resident_mb(pid: int) -> float:
+    """Returns how much memory a process uses."""
+    try:
+        for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1]) / 1024
+    except OSError:
+        pass
+    return 0.0
 
 
 def new_attempt() -> str:
