Count a case that fails for another reason as not run

Cause: an error of a script itself, or its end by a signal, gave the exit status of a broken rule, and left processes behind.

--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -466,25 +466,30 @@
     with_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run() -> int:
-        fleet = Fleet(folder)
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        try:
+            fleet = Fleet(folder)
+        except (SetupError, OSError) as exc:
+            print(f"the case could not run: {exc!r}")
+            return 2
         try:
             fleet.record.write(
                 f"the case is played {'with' if with_trouble else 'without'} trouble"
             )
             async with asyncio.timeout(115):
                 breaks = await play(fleet, with_trouble)
-            for text in breaks:
-                fleet.record.write(f"BROKEN: {text}")
-            verdict = f"the rule was broken {len(breaks)} times" if breaks else "the rule held"
-            fleet.record.write(verdict)
-            print("\n".join((*breaks[:SHOWN_BREAKS], verdict)))
-            return 1 if breaks else 0
-        except (SetupError, TimeoutError, OSError) as exc:
+        except (Exception, asyncio.CancelledError) as exc:
             fleet.record.write(f"the case could not run: {exc!r}")
             print(f"the case could not run: {exc!r}")
             return 2
         finally:
             fleet.close()
+        for text in breaks:
+            fleet.record.write(f"BROKEN: {text}")
+        verdict = f"the rule was broken {len(breaks)} times" if breaks else "the rule held"
+        fleet.record.write(verdict)
+        print("\n".join((*breaks[:SHOWN_BREAKS], verdict)))
+        return 1 if breaks else 0
 
     return asyncio.run(run())
 
