Show seven crowds that outgrow a process

Each test starts controllers and two nodes on loopback addresses; the bounds are those of the crowds that were there already: 0.6 of the memory in the settings above the memory at rest.

Seen on the code as it stands, above rest: 96 MB of 84 behind early answers to long bodies, 240 of 84 with bodies that run after their callers have left, 173 of 84 after 2,400 answered bodies of 65 kB, 146 of 84 after 8,000 answered heads of 15 kB, 87 of 60 with responses that wait for a slow one, 480 of 307 where settings name no memory. A response of 32 MB that is read at 10 MB/s is cut off after 6 MB.

--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import json
 import re
 import socket
 import unittest
@@ -16,6 +17,7 @@
 
 from tests.platform_fleet import (
     CALLERS_PORT,
+    UPSTREAM_PORT,
     Backend,
     Fleet,
     address,
@@ -33,7 +35,9 @@
 # Of memoryMb, above the resident memory at rest, which takes less than the other 0.4.
 MAX_GROWTH_SHARE = 0.6
 MAX_GROWTH_FDS = 60  # More than the whole crowd and its calls take, far below the limit.
+ASSUMED_MEMORY_MB = 512  # Of a machine whose settings name none.
 MAX_BODY_BYTES = 8 * MIB
+MEDIUM_BODY_BYTES = 15_000
 CROWD = 24  # Connections at once; two in three stop just short of their end and stay open.
 PIECE_BYTES = 64 << 10
 HANG_S = 25.0  # A sender that is still blocked then gives up; nothing is judged by it.
@@ -44,46 +48,96 @@
 
 
 class LargeBackend(Backend):
-    """A backend that answers targets below `/a/large` with large bodies."""
+    """A backend for large messages, whose targets say what it does.
+
+    Targets below `/a/large` and `/a/medium` are answered with bodies of that size. Those below
+    `/a/early` are answered before their body is read, and those with `/work` after `work_s`.
+    """
+
+    READ_ON_S = 10.0  # Until the rest of a body is read after an early answer.
+
+    def __init__(self, number, name, slots):
+        super().__init__(number, name)
+        self.slots = slots
+        self.large_bytes = MAX_BODY_BYTES
+        self.work_s = 5.0
+        self.started = set()  # The attempts that have arrived whole.
+
+    async def start(self):
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, PIECE_BYTES)
+        sock.bind((address(self.number), UPSTREAM_PORT))
+        self._server = await asyncio.start_server(self._serve, sock=sock, backlog=1024)
 
     async def _serve(self, reader, writer):
         with contextlib.suppress(asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                match = re.search(r"X-Attempt-Id: (\S+)", head)
+                attempt = match[1] if match else ""
                 size = re.search(r"(?i)content-length: (\d+)", head)
                 left = int(size[1]) if size else 0
+                is_early = " /a/early" in head
+                if is_early:
+                    self._respond(writer, attempt, attempt.encode())
+                    await asyncio.sleep(self.READ_ON_S)
                 while left:
-                    left -= len(await reader.read(min(left, PIECE_BYTES)))
-                match = re.search(r"X-Attempt-Id: (\S+)", head)
-                attempt = match[1] if match else ""
+                    piece = await reader.read(min(left, PIECE_BYTES))
+                    if not piece:
+                        return
+                    left -= len(piece)
+                self.started.add(attempt)
+                if "/work" in head:
+                    await asyncio.sleep(self.work_s)
                 body = attempt.encode()
                 if " /a/large" in head:
-                    body = bytes(MAX_BODY_BYTES)
-                extra = f"X-Attempt-Id: {attempt}\r\n" if attempt else ""
-                extra += f"X-Instance-Id: {self.name}\r\nX-Server-Load: 0,0,40\r\n"
-                extra += f"X-Server-Stamp: {attempt}\r\nContent-Length: {len(body)}\r\n\r\n"
-                writer.write(f"HTTP/1.1 200 OK\r\n{extra}".encode())
-                writer.write(body)
-                await writer.drain()
+                    body = bytes(self.large_bytes)
+                elif " /a/medium" in head:
+                    body = bytes(MEDIUM_BODY_BYTES)
+                if not is_early:
+                    self._respond(writer, attempt, body)
+                    await writer.drain()
         writer.close()
 
+    def _respond(self, writer, attempt, body):
+        extra = f"X-Attempt-Id: {attempt}\r\n" if attempt else ""
+        extra += f"X-Instance-Id: {self.name}\r\nX-Server-Load: 0,0,{self.slots}\r\n"
+        extra += f"X-Server-Stamp: {attempt}\r\nContent-Length: {len(body)}\r\n\r\n"
+        writer.write(f"HTTP/1.1 200 OK\r\n{extra}".encode())
+        writer.write(body)
+
 
 class MemoryLimitTests(unittest.TestCase):
     """Crowds of connections to one node, and one ordinary request afterwards."""
 
-    def play(self, send, crowd=CROWD, memory_mb=MEMORY_MB, body_bytes=MAX_BODY_BYTES, fds=0):
+    def play(
+        self,
+        send,
+        crowd=CROWD,
+        memory_mb=MEMORY_MB,
+        body_bytes=MAX_BODY_BYTES,
+        fds=0,
+        node=EGRESS,
+        hang_s=HANG_S,
+        slots=40,
+        **path,
+    ):
         """Lets a crowd of clients run `send` at once and checks both nodes.
 
-        `send` gets the reader, the writer and the number of a client.
+        `send` gets the reader, the writer and the number of a client, which is connected to `node`.
+        `path` changes the route. Without `memory_mb`, the settings name no memory.
         """
 
         async def run():
             fleet = Fleet()
-            backend = LargeBackend(INGRESS, "b1")
+            backend = self.backend = LargeBackend(INGRESS, "b1", slots)
             writers = []
             try:
-                fleet.limits = {"memoryMb": memory_mb, "maxFds": MAX_FDS}
-                await self._start(fleet, backend, body_bytes)
+                fleet.limits = {"maxFds": MAX_FDS}
+                if memory_mb:
+                    fleet.limits["memoryMb"] = memory_mb
+                await self._start(fleet, backend, body_bytes, path)
                 processes = {
                     number: psutil.Process(fleet.processes[number].pid)
                     for number in (INGRESS, EGRESS)
@@ -103,7 +157,10 @@
 
                 watcher = asyncio.create_task(watch())
                 await asyncio.gather(
-                    *(self._run_client(send, writers, number) for number in range(crowd))
+                    *(
+                        self._run_client(send, writers, number, node, hang_s)
+                        for number in range(crowd)
+                    )
                 )
                 status = await self._call_patiently("after")
                 watcher.cancel()
@@ -122,28 +179,33 @@
             status, alive, growth, more_fds = runner.run(run())
         seen = f"growth in MB {({k: v // MIB for k, v in growth.items()})}, descriptors {more_fds}"
         self.assertEqual(alive, {INGRESS: True, EGRESS: True}, seen)
-        self.assertLess(max(growth.values()), MAX_GROWTH_SHARE * memory_mb * MIB, seen)
+        max_growth = MAX_GROWTH_SHARE * (memory_mb or ASSUMED_MEMORY_MB) * MIB
+        self.assertLess(max(growth.values()), max_growth, seen)
         self.assertLess(max(more_fds.values()), fds or MAX_GROWTH_FDS, seen)
         self.assertEqual(status, 200, seen)
 
-    async def _start(self, fleet, backend, body_bytes):
+    async def _start(self, fleet, backend, body_bytes, path_changes):
         for number in (1, 2, 3):
             fleet.launch("core", number)
         fleet.launch("node", INGRESS, "s1")
         fleet.launch("node", EGRESS, "s2")
         await backend.start()
         path = {"split": [{"service": "s1", "weight": 100}], "timeoutMs": 10_000, "goalMs": 12_000}
+        path.update(path_changes)
         limits = {
             "maxHeaderBytes": 16384,
             "maxBodyBytes": body_bytes,
             "headerTimeoutMs": 3000,
             "idleTimeoutMs": 15_000,
         }
-        raw = config(path=path, limits=limits)
+        fields = json.loads(config(path=path, limits=limits))
+        paths = fields["virtualHosts"][0]["paths"]
+        paths.append({**paths[0], "name": "r-3", "pathPrefix": "/slow/"})
+        raw = json.dumps(fields).encode()
         await wait_until(lambda: put_config(raw, "0"), 200)
         await wait_until(lambda: ready_status(EGRESS), 200)
         await wait_until(lambda: ready_status(INGRESS), 200)
-        await wait_until(lambda: backend.send_heartbeat(capacity=40), 200)
+        await wait_until(lambda: backend.send_heartbeat(capacity=backend.slots), 200)
         for number in (INGRESS, EGRESS):
             await wait_until(lambda number=number: self._call_status(number, "before"), 200)
 
@@ -163,22 +225,49 @@
                     await asyncio.sleep(0.1)
         return status
 
-    async def _run_client(self, send, writers, number):
+    async def _run_client(self, send, writers, number, node, hang_s):
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
-            async with asyncio.timeout(HANG_S):
-                sock = socket.socket()
-                sock.setblocking(False)
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 << 10)
-                await asyncio.get_running_loop().sock_connect(sock, (address(EGRESS), CALLERS_PORT))
-                reader, writer = await asyncio.open_connection(sock=sock, limit=PIECE_BYTES)
+            async with asyncio.timeout(hang_s):
+                reader, writer = await self._connect(node)
                 writers.append(writer)
                 await send(reader, writer, number)
 
+    async def _connect(self, node):
+        sock = socket.socket()
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 << 10)
+        await asyncio.get_running_loop().sock_connect(sock, (address(node), CALLERS_PORT))
+        return await asyncio.open_connection(sock=sock, limit=PIECE_BYTES)
+
+    async def _read_status(self, reader):
+        """Reads a response; returns its status."""
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        await reader.readexactly(int(re.search(r"(?i)content-length: (\d+)", head)[1]))
+        return int(head.split()[1])
+
+    async def _send_patiently(self, node, head, body, has_ended):
+        """Sends a request until it is not refused, or until `has_ended()` while it runs."""
+        for _ in range(60):
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                reader, writer = await self._connect(node)
+                writer.write(head + body)
+                status = asyncio.ensure_future(self._read_status(reader))
+                while not status.done() and not has_ended():
+                    await asyncio.sleep(0.05)
+                if not status.done():
+                    status.cancel()
+                    writer.transport.abort()
+                    return
+                writer.transport.abort()
+                if status.result() != 503:
+                    return
+            await asyncio.sleep(0.2)
+
     @staticmethod
-    def head(number, framing, target="/a/x", method="POST"):
+    def head(number, framing, target="/a/x", method="POST", deadline_ms=8000):
         return (
             f"{method} {target} HTTP/1.1\r\nHost: one.example\r\nX-Attempt-Id: c{number}\r\n"
-            f"X-Deadline-Ms: 8000\r\nX-Credential: k1\r\n{framing}\r\n"
+            f"X-Deadline-Ms: {deadline_ms}\r\nX-Credential: k3\r\n{framing}\r\n"
         ).encode()
 
     async def send_body(self, writer, number, body_bytes, piece_bytes, framed=None):
@@ -276,6 +365,88 @@
 
         self.play(send)
 
+    def test_long_bodies_that_are_answered_before_they_are_read(self):
+        async def send(reader, writer, number):
+            head = self.head(number, f"Content-Length: {MAX_BODY_BYTES}\r\n", "/a/early")
+            await self._send_patiently(EGRESS, head, bytes(MAX_BODY_BYTES), lambda: False)
+
+        self.play(send, crowd=40)
+
+    def test_bodies_that_run_after_their_callers_have_left(self):
+        async def send(reader, writer, number):
+            head = self.head(number, f"Content-Length: {MAX_BODY_BYTES}\r\n", "/a/work")
+            has_started = self.backend.started.__contains__
+            await self._send_patiently(
+                INGRESS, head, bytes(MAX_BODY_BYTES), lambda: has_started(f"c{number}")
+            )
+
+        self.play(send, crowd=30, node=INGRESS, kind="unsafe")
+
+    def test_answered_bodies_of_65_kilobytes(self):
+        async def send(reader, writer, number):
+            for count in range(300):
+                head = self.head(f"{number}.{count}", "Content-Length: 65000\r\n")
+                writer.write(head + bytes(65_000))
+                await self._read_status(reader)
+
+        self.play(send, crowd=8, hang_s=4 * HANG_S)
+
+    def test_answered_heads_of_15_kilobytes(self):
+        async def send(reader, writer, number):
+            padding = f"X-Padding: {'x' * MEDIUM_BODY_BYTES}\r\n"
+            for count in range(1000):
+                attempt = f"{number}.{count}"
+                writer.write(self.head(attempt, padding, method="GET", deadline_ms=60_000))
+                await self._read_status(reader)
+
+        self.play(send, crowd=8, hang_s=4 * HANG_S, timeoutMs=60_000, goalMs=60_000)
+
+    def test_responses_that_wait_for_a_slow_one(self):
+        async def send(reader, writer, number):
+            self.backend.work_s = 12.0
+            await asyncio.sleep(number * 0.08)  # The backend must be able to accept connections.
+            writer.write(self.head(f"{number}.0", "", "/slow/work", "GET", 20_000))
+            for count in range(1, 120):
+                writer.write(self.head(f"{number}.{count}", "", "/a/medium", "GET", 20_000))
+            await writer.drain()
+            await asyncio.sleep(self.backend.work_s)  # They stay open that long.
+
+        self.play(
+            send,
+            crowd=80,
+            memory_mb=100,
+            fds=MAX_FDS // 2 + MAX_GROWTH_FDS,
+            slots=100,
+            timeoutMs=20_000,
+            goalMs=20_000,
+        )
+
+    def test_settings_that_name_no_memory(self):
+        async def send(reader, writer, number):
+            writer.write(self.head(number, f"Content-Length: {40 * MIB}\r\n"))
+            for _ in range(40):
+                writer.write(bytes(MIB - 1))
+                await writer.drain()
+
+        self.play(send, crowd=12, memory_mb=0, body_bytes=64 * MIB)
+
+    def test_large_response_that_is_read_slowly_arrives_whole(self):
+        received = []
+
+        async def send(reader, writer, number):
+            self.backend.large_bytes = 32 * MIB
+            writer.write(self.head(number, "", "/a/large", "GET"))
+            await reader.readuntil(b"\r\n\r\n")
+            size = 0
+            while size < 32 * MIB:
+                piece = await reader.readexactly(MIB)
+                size += len(piece)
+                received.append(len(piece))
+                await asyncio.sleep(0.1)
+
+        self.play(send, crowd=1, memory_mb=200)
+        self.assertEqual(sum(received), 32 * MIB)
+
 
 def read_peak(pid):
     """Returns the most resident memory that a process has had, in bytes."""
