Free calls, jobs and exchanges when they end

The deadline timers keep each call and job, with the head of its request, until a deadline that callers choose. Calls that leave a queue stay in its heap until they reach the top, and the waits are computed over them. Parsers refer to their connections.

Change: a job lets go of its exchange when it is done, deadlines are cancelled when their call ends, a request drops its head and body once it is answered, the queue forgets what leaves it, and a connection that is lost lets go of its parser. Nothing is left for the collector whatever way a call ends (tests.test_freed_calls, which fails on the code before in each case).

--- a/src/marjoramvalve/h1/callers.py
+++ b/src/marjoramvalve/h1/callers.py
@@ -134,6 +134,7 @@
         for request in self._pending:
             self._release(request)
         self._notify_disconnected()
+        self._request = self._last_request = self._parser = None  # They refer to the connection.
 
     def eof_received(self) -> bool:
         """Treats a half-close by the caller as a disconnect and closes the connection."""
--- a/src/marjoramvalve/h1/incoming.py
+++ b/src/marjoramvalve/h1/incoming.py
@@ -90,11 +90,15 @@
         else:
             framed = line + head + b"Content-Length: %d\r\n" % len(body)
             self.response = framed, b"" if self.method == b"HEAD" else body
+        self.discard()
         if self.charged_bytes or len(body) > MAX_SMALL_BYTES:
-            self.body = b""
             self.conn.charge_response(self, len(self.response[1]))
         self.conn.flush()
 
+    def discard(self) -> None:
+        """Frees what the caller has sent, which others may still refer to through the request."""
+        self.head = self.target = self.body = b""
+
     def take_response(self, closes: bool) -> bytes:
         """Returns the encoded response and frees its memory.
 
--- a/src/marjoramvalve/h1/upstreams.py
+++ b/src/marjoramvalve/h1/upstreams.py
@@ -214,6 +214,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fails the exchange in progress."""
         self._transport = None
+        self._parser = None  # It refers to the connection.
         self._pool.discard(self)
         self._fail(
             f"upstream closed the connection: {exc or 'end of stream'}",
--- a/src/marjoramvalve/mesh/calls.py
+++ b/src/marjoramvalve/mesh/calls.py
@@ -5,6 +5,7 @@
 from marjoramvalve.h1 import IncomingRequest
 from marjoramvalve.idempotency import Order
 from marjoramvalve.mesh.routes import RouteTarget
+from marjoramvalve.mesh.timers import Deadline
 
 if TYPE_CHECKING:
     from marjoramvalve.mesh.peers import Peer
@@ -52,6 +53,7 @@
         "sent_at",
         "service",
         "target",
+        "timer",
         "objective_at",
         "tried_peers",
         "tries",
@@ -88,4 +90,12 @@
         self.tries = 0
         self.runs = 0
         self.may_have_run = False
+        self.timer: Deadline | None = None
         self.done = False
+
+    def end(self) -> None:
+        """Marks the call as ended, and frees its request."""
+        self.done = True
+        self.head = self.body = b""
+        if self.timer is not None:
+            self.timer.cancel()
--- a/src/marjoramvalve/mesh/egress.py
+++ b/src/marjoramvalve/mesh/egress.py
@@ -327,7 +327,7 @@
 
     def _withdraw_waiting(self, call: Call) -> None:
         """Ends a call that has not got past the rate limiter."""
-        call.done = True
+        call.end()
         self._active.discard(call)
         self._root_call_admission.give_back(call.target.name)
 
@@ -369,7 +369,7 @@
         )
         request.on_disconnect = lambda: self._on_caller_gone(call)
         self._active.add(call)
-        self._deadlines.add(call.deadline, lambda: self._expire(call))
+        call.timer = self._deadlines.add(call.deadline, lambda: self._expire(call))
         if call.is_retry:
             self._retry_budget.charge(call.service)
         else:
@@ -531,8 +531,7 @@
     # Completion
 
     def _finish(self, call: Call) -> None:
-        call.done = True
-        call.head = call.body = b""  # Frees memory: the deadline timer keeps the call alive.
+        call.end()
         self._active.discard(call)
 
     def _expire(self, call: Call) -> None:
@@ -555,8 +554,8 @@
             return
         if call.order is not None and call.peer is not None:
             return  # Its response is stored in case the caller resends the order.
-        call.done = True
-        call.head = call.body = call.request.body = b""
+        call.end()
+        call.request.discard()
         self._active.discard(call)
         if not call.service:
             return  # It was still waiting for the rate limiter.
--- a/src/marjoramvalve/mesh/ingress.py
+++ b/src/marjoramvalve/mesh/ingress.py
@@ -230,7 +230,9 @@
             return
         if not self._enqueue(job, now):
             return
-        self._deadlines.add(self._useful_until(job), lambda: self._expire_waiting(job))
+        job.set_timer(
+            self._deadlines.add(self._useful_until(job), lambda: self._expire_waiting(job))
+        )
         if self.announcements.cold_starts.per_s is not None:
             self._refuse_displaced_by(job, now)
         if pacing_delay_s > 0:
@@ -305,13 +307,15 @@
             lambda detail, kind: self._on_connection_error(job, detail, kind),
             large_body,
         )
-        job.head = job.body = b""  # Frees memory: the deadline timer keeps the job alive.
+        job.head = job.body = b""  # They are in the exchange.
         self._sent_jobs.add(job)
         job.started_at_capacity = self._saturation.is_saturated(
             len(self._sent_jobs), self.state.slots
         )
         self.running[job.attempt] = job
-        self._deadlines.add(job.deadline + DEADLINE_GRACE_S, lambda: self._expire(job))
+        job.set_timer(
+            self._deadlines.add(job.deadline + DEADLINE_GRACE_S, lambda: self._expire(job))
+        )
         self.rate_limiter.take(now)
         self.sent_requests += 1
         self.rate_log.log_usage(
@@ -359,8 +363,7 @@
             log.info("upstream.full", instance=self.state.instance, limit=self.limit)
 
     def _release(self, job: Job) -> None:
-        job.done = True
-        job.exchange.body = b""
+        job.end()
         self._sent_jobs.discard(job)
         if self.running.get(job.attempt) is job:
             del self.running[job.attempt]
@@ -503,7 +506,7 @@
             return
         cut_at = job.deadline + ABANDONED_S
         if now < cut_at and self.quarantine.keeps_running(job, now):
-            self._deadlines.add(cut_at, lambda: self._expire(job))
+            job.set_timer(self._deadlines.add(cut_at, lambda: self._expire(job)))
             return
         log.info("upstream.overdue", request=job.attempt, instance=self.state.instance)
         self._abandon(job)
@@ -516,8 +519,7 @@
             return
         if job.exchange is None:
             self._queue.remove(job)
-            job.done = True
-            job.body = b""
+            job.end()
             return
         if only_waiting or self.quarantine.keeps_running(job, self._loop.time()):
             return
@@ -547,8 +549,7 @@
             self._release(job)
 
     def _refuse(self, job: Job, code: ErrorCode, retry_after_s: float) -> None:
-        job.done = True
-        job.body = b""
+        job.end()
         job.callbacks.job_refused(job, code, retry_after_s)
 
     def _on_unexpected_response(self, expected: bytes, received: bytes | None) -> None:
--- a/src/marjoramvalve/mesh/jobs.py
+++ b/src/marjoramvalve/mesh/jobs.py
@@ -5,6 +5,7 @@
 
 from marjoramvalve.h1 import Exchange, UpstreamResponse
 from marjoramvalve.mesh.frames import ErrorCode
+from marjoramvalve.mesh.timers import Deadline
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +80,7 @@
         "repeatable",
         "route",
         "started_at",
+        "timer",
         "objective_at",
     )
 
@@ -117,4 +119,23 @@
         self.started_at = 0.0
         self.started_at_capacity = False
         self.exchange: Exchange | None = None
+        self.timer: Deadline | None = None
         self.done = False
+
+    def set_timer(self, timer: Deadline) -> None:
+        """Replaces the timer of the job."""
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = timer
+
+    def end(self) -> None:
+        """Marks the job as done, and frees its request.
+
+        The callbacks of the exchange and of the timer refer to the job, so that it would stay in
+        memory until the garbage collector finds them.
+        """
+        self.done = True
+        self.head = self.body = b""
+        self.exchange = None
+        if self.timer is not None:
+            self.timer.cancel()
--- a/src/marjoramvalve/mesh/queues.py
+++ b/src/marjoramvalve/mesh/queues.py
@@ -49,13 +49,15 @@
     """Waiting calls, ordered by rank and then by the start of their root call."""
 
     def __init__(self) -> None:
-        self._heap: list[tuple[int, float, int, object, float]] = []
+        # Rank, start of the root call, sequence number and expected service time of each call.
+        self._heap: list[tuple[int, float, int, float]] = []
         self._sequence = count()
-        self._removed: set[int] = set()
+        # Without the removed calls, whose entries stay in the heap for a while.
+        self._jobs: dict[int, object] = {}
         self._sequence_by_job: dict[int, int] = {}
 
     def __len__(self) -> int:
-        return len(self._heap) - len(self._removed)
+        return len(self._jobs)
 
     def expected_wait_s(
         self,
@@ -73,36 +75,39 @@
         position = (rank, began)
         calls, work_s = 0, 0.0
         for item in self._heap:
-            if item[:2] <= position and item[2] not in self._removed:
+            if item[:2] <= position and item[2] in self._jobs:
                 calls += 1
-                work_s += item[4]
+                work_s += item[3]
         return max(work_factor * work_s / max(1, slots), turn_delay_s(calls))
 
     def push(self, job: object, rank: int, began: float, service_s: float) -> None:
         """Adds a call with its expected service time in seconds."""
         sequence = next(self._sequence)
         self._sequence_by_job[id(job)] = sequence
-        heapq.heappush(self._heap, (rank, began, sequence, job, service_s))
+        self._jobs[sequence] = job
+        heapq.heappush(self._heap, (rank, began, sequence, service_s))
 
     def in_order(self) -> list:
         """Returns the waiting calls, the next one first."""
-        return [item[3] for item in sorted(self._heap) if item[2] not in self._removed]
+        return [self._jobs[item[2]] for item in sorted(self._heap) if item[2] in self._jobs]
 
     def remove(self, job: object) -> bool:
         """Removes a call; returns False if it is not in the queue."""
         sequence = self._sequence_by_job.pop(id(job), None)
         if sequence is None:
             return False
-        self._removed.add(sequence)
+        del self._jobs[sequence]
+        if len(self._heap) > 2 * len(self._jobs):
+            self._heap = [item for item in self._heap if item[2] in self._jobs]
+            heapq.heapify(self._heap)
         return True
 
     def pop(self) -> object | None:
         """Removes and returns the next call, or None if no call waits."""
         while self._heap:
-            _, _, sequence, job, _ = heapq.heappop(self._heap)
-            if sequence in self._removed:
-                self._removed.discard(sequence)
-                continue
-            del self._sequence_by_job[id(job)]
-            return job
+            sequence = heapq.heappop(self._heap)[2]
+            job = self._jobs.pop(sequence, None)
+            if job is not None:
+                del self._sequence_by_job[id(job)]
+                return job
         return None
--- /dev/null
+++ b/tests/test_freed_calls.py
@@ -0,0 +1,106 @@
+"""What a call leaves in memory once it has ended, whatever way it ended."""
+
+import asyncio
+import contextlib
+import gc
+
+from marjoramvalve.h1 import IncomingRequest
+from marjoramvalve.h1.callers import CallerConnection
+from marjoramvalve.h1.upstreams import Exchange, UpstreamConnection
+from marjoramvalve.mesh.calls import Call
+from marjoramvalve.mesh.jobs import Job
+from tests.meshes import make_document, ok_response, reset_connection
+from tests.test_mesh import MeshTestCase
+
+TYPES = (Call, CallerConnection, Exchange, IncomingRequest, Job, UpstreamConnection)
+
+
+def count_objects():
+    """Returns how many objects of calls exist, those that only the collector can free included."""
+    names = [type(item).__name__ for item in gc.get_objects() if isinstance(item, TYPES)]
+    return {name: names.count(name) for name in set(names)}
+
+
+class FreedCallTests(MeshTestCase):
+    """An ended call is freed at once, and doesn't wait for its deadline or for the collector."""
+
+    def setUp(self):
+        super().setUp()
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+
+    def check_freed(self, respond, send, slots=4):
+        """Lets `send` use a caller, closes it, and checks that nothing of its calls is left."""
+        doc = make_document(
+            read={"deadline_ms": 60_000, "objective_ms": 60_000},
+            order={"deadline_ms": 60_000, "objective_ms": 60_000},
+        )
+
+        async def play():
+            caller = await self.connect_pair(respond, slots=slots, doc=doc)
+            await send(caller)
+            caller.writer.transport.abort()
+            for node in self.bench.nodes:
+                node.ingress.pool.close()
+            await asyncio.sleep(0.1)
+            return count_objects()
+
+        self.assertEqual(self.bench.run(play()), {})
+
+    def check_requests(self, respond, status, **options):
+        async def send(caller):
+            for number in range(5):
+                response = await caller.request("/order/", f"a{number}", method="POST", **options)
+                self.assertEqual(response[0], status)
+
+        self.check_freed(respond, send)
+
+    async def answer(self, request, writer):
+        writer.write(ok_response(request))
+
+    async def reset(self, request, writer):
+        reset_connection(writer)
+
+    async def shed(self, request, writer):
+        writer.write(
+            ok_response(request, extra="Marjoramvalve-Run: not-run\r\n").replace(b"200", b"503", 1)
+        )
+
+    async def never_answer(self, request, writer):
+        await asyncio.sleep(3600)
+
+    def test_answered(self):
+        self.check_requests(self.answer, 200, body="x" * 65_000)
+
+    def test_failed(self):
+        self.check_requests(self.reset, 502)
+
+    def test_shed(self):
+        self.check_requests(self.shed, 503)
+
+    def test_expired(self):
+        self.check_requests(self.never_answer, 504, extra="Marjoramvalve-Deadline-Ms: 50\r\n")
+
+    def test_left_by_their_callers(self):
+        async def send(caller):
+            for number in range(20):  # Most of them wait for a slot.
+                caller.send("/read/", f"a{number}", body="x" * 3000, method="PUT")
+            await asyncio.sleep(0.2)
+
+        self.check_freed(self.never_answer, send)
+
+    def test_unfinished(self):
+        async def send(caller):
+            caller.writer.write(b"PUT /read/ HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nx")
+            await asyncio.sleep(0.1)
+
+        self.check_freed(self.answer, send)
+
+    def test_malformed(self):
+        async def send(caller):
+            caller.writer.write(b"PUT /read/ HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n")
+            with contextlib.suppress(asyncio.IncompleteReadError):
+                await caller.read_response()
+
+        self.check_freed(self.answer, send)
