Charge large messages until their last reference is gone

What callers saw: a node beside its upstream grows by each body whose caller has left while it runs, and by each response that waits behind a slow one; the process is ended, and ordinary callers get nothing.

Cause: the budget was told of a message by each of its holders, and some gave the charge back while others still referred to it: a request whose caller had left, bytes in the write buffer of a link, outcomes and responses of up to 16 KB, heads, partial frames of up to 256 KB.

Change: a large message is a buffer that is charged as it grows and gives its charge back when it is freed, whoever refers to it last; requests, calls, jobs, outcomes, link frames and write buffers share it. Small messages that wait are charged by their holder, with 2 KB for each pipelined request. Where less than half of the budget is free, a connection has one request in progress. Callers whose responses can't be delivered and links to peers that are silent give way. Bytes that were given up but are still in a write buffer don't make others give way too.

--- a/src/marjoramvalve/h1/callers.py
+++ b/src/marjoramvalve/h1/callers.py
@@ -8,9 +8,9 @@
 import structlog
 
 from marjoramvalve.h1.headers import CONNECTION_HEADERS
-from marjoramvalve.h1.incoming import IncomingRequest
+from marjoramvalve.h1.incoming import NO_RESPONSE, IncomingRequest
 from marjoramvalve.h1.redaction import remove_key, remove_key_from_query
-from marjoramvalve.links import MAX_SMALL_BYTES, allocated_bytes
+from marjoramvalve.links import MAX_SMALL_BYTES, UNCOUNTED_BYTES, ChargedBuffer, plain_bytes
 from marjoramvalve.model import CallerLimits
 
 if TYPE_CHECKING:
@@ -28,12 +28,13 @@
 MAX_UNSENT_BYTES = 16 << 20  # Response bytes buffered for a slow caller before it is disconnected.
 # A caller with unsent responses is disconnected this long after the last request or response data.
 SEND_TIMEOUT_S = 20.0
+# Requests that wait behind another one on their connection, with all that is kept for each.
+PIPELINED_REQUEST_BYTES = 2 << 10
 LINGER_S = 1.0  # How long a caller has to close a connection after the last response on it.
 MAX_CHUNK_OVERHEAD = 8  # Framing bytes per body byte; enough for chunks of one byte.
 MAX_SMALL_DIGITS = 4  # An announced length up to here is not worth a check before the body comes.
 MAX_DEADLINE_DIGITS = 12  # The rest is cut off: any deadline of that length is far away.
 RETRY_HEADER = b"Retry-After: 1\r\n"
-UNCOUNTED_BYTES = 2 << 10  # Requests in progress up to this size are bounded by their number.
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 log = structlog.get_logger("callers")
@@ -47,7 +48,6 @@
         "_arrived_at",
         "_body",
         "_charged_partial_bytes",
-        "_charged_unsent_bytes",
         "_closing",
         "_connection_options",
         "_expects_continue",
@@ -87,9 +87,8 @@
         self._is_paused = False
         self._request: IncomingRequest | None = None
         self._header_lines: list[bytes] = []
-        self._body: bytes | bytearray = b""
-        self._charged_partial_bytes = 0
-        self._charged_unsent_bytes = 0
+        self._body: bytes | ChargedBuffer = b""
+        self._charged_partial_bytes = 0  # Without a body that is charged by itself.
         self._expects_continue = False
         self._head_bytes = 0  # Of the head, or of the trailers of the body.
         self._parsed_bytes = 0  # Of the body.
@@ -130,7 +129,6 @@
         self._server.connections.discard(self)
         self._drop_held()
         self._drop_partial()
-        self.charge_unsent()
         for request in self._pending:
             self._release(request)
         self._notify_disconnected()
@@ -189,7 +187,7 @@
                 self._count_received_bytes(len(data))
             if self._request is not None:
                 self._charge_partial()
-        self._is_blocked = self._is_write_blocked or len(self._pending) >= MAX_PIPELINED
+        self._is_blocked = self._is_write_blocked or len(self._pending) >= self._max_pipelined
 
     # Back-pressure
 
@@ -235,14 +233,17 @@
     def resume_writing(self) -> None:
         """Parses requests again once the caller has read its responses."""
         self._is_write_blocked = False
-        self.charge_unsent()
         self._check_room()
 
+    @property
+    def _max_pipelined(self) -> int:
+        return MAX_PIPELINED if self._server.memory.is_ample else 1
+
     def _check_room(self) -> None:
         if (
             self._is_blocked
             and not self._is_write_blocked
-            and len(self._pending) <= MAX_PIPELINED // 2
+            and len(self._pending) <= self._max_pipelined // 2
         ):
             self._is_blocked = False
             self._loop.call_soon(self._unblock)
@@ -251,12 +252,15 @@
 
     def _charge_partial(self) -> None:
         """Charges the request that is arriving, unless it came in one piece."""
-        size = allocated_bytes(len(self._body)) + len(self._request.head) + self._head_bytes
+        body = self._body
+        size = plain_bytes(body) + len(self._request.head) + self._head_bytes
         if self._in_head:
             size += self._received_bytes  # Lines that are not complete are in the parser.
         size -= self._charged_partial_bytes
         self._charged_partial_bytes += size
         self._server.memory.charge(size)
+        if isinstance(body, ChargedBuffer) and body is self._body:
+            body.charge()
 
     def _uncharge_partial(self) -> None:
         if self._charged_partial_bytes:
@@ -272,37 +276,52 @@
     def _charge_request(self, request: IncomingRequest) -> None:
         """Charges a complete request until its response."""
         self._uncharge_partial()
-        request.charged_bytes = (
-            allocated_bytes(len(request.body)) + len(request.head) + len(request.target)
-        )
-        self._server.memory.charge(request.charged_bytes)
+        size = plain_bytes(request.body) + len(request.head) + len(request.target)
+        if len(self._pending) > 1:
+            size += PIPELINED_REQUEST_BYTES
+        if size > UNCOUNTED_BYTES:
+            request.charged_bytes = size
+            self._server.memory.charge(size)
+        if isinstance(request.body, ChargedBuffer):
+            request.body.charge()
 
     def _release(self, request: IncomingRequest) -> None:
         if request.charged_bytes:
             self._server.memory.charge(-request.charged_bytes)
             request.charged_bytes = 0
 
-    def charge_response(self, request: IncomingRequest, size: int) -> None:
-        """Charges a response that is ready instead of its request."""
-        if request in self._pending:
-            size -= request.charged_bytes
-            request.charged_bytes += size
-            self._server.memory.charge(size)
-
-    def charge_unsent(self) -> None:
-        """Charges the response bytes that the caller has not taken."""
-        if self._transport is not None and self._transport.is_closing():
+    def hold_response(self, request: IncomingRequest) -> None:
+        """Charges a response that waits for an earlier one; frees it if the caller is gone."""
+        if request not in self._pending:
+            request.response = NO_RESPONSE
             return
-        size = self.unsent_bytes - self._charged_unsent_bytes
-        if size:
-            self._charged_unsent_bytes += size
-            self._server.memory.charge(size)
+        head, body = request.response
+        size = PIPELINED_REQUEST_BYTES + len(head) + plain_bytes(body)
+        added, request.charged_bytes = size - request.charged_bytes, size
+        self._server.memory.charge(added)
 
     @property
     def dispensable_bytes(self) -> int:
         """Returns how many bytes are freed by giving up the connection."""
+        if self._transport is None or self._transport.is_closing():
+            return 0
         held_bytes = sum(len(data) for _, data in self._held)
-        return held_bytes + self._charged_partial_bytes + self._charged_unsent_bytes
+        return held_bytes + self._partial_bytes + self._undelivered_bytes
+
+    @property
+    def _partial_bytes(self) -> int:
+        """Returns how many bytes are charged for the request that is arriving."""
+        size = self._charged_partial_bytes
+        return size + self._body.charged_bytes if isinstance(self._body, ChargedBuffer) else size
+
+    @property
+    def _undelivered_bytes(self) -> int:
+        """Returns how many bytes of responses wait to be written or read."""
+        waiting = [item for item in self._pending if item.response is not None]
+        return self.unsent_bytes + sum(
+            item.charged_bytes + len(item.response[1]) - plain_bytes(item.response[1])
+            for item in waiting
+        )
 
     @property
     def is_idle(self) -> bool:
@@ -317,19 +336,24 @@
     def give_up(self, reason: str) -> None:
         """Refuses the request that is arriving, which has not run, and frees what is held.
 
-        A caller that does not read its responses is disconnected.
+        A caller whose responses can't be delivered is disconnected.
         """
+        undelivered_bytes = self._undelivered_bytes
         self._server.memory.count_refusal(reason)
         log.info(
             "caller.given_up",
             reason=reason,
-            received=self._charged_partial_bytes,
-            unsent=self._charged_unsent_bytes,
+            received=self._partial_bytes,
+            undelivered=undelivered_bytes,
             idle_s=round(self._loop.time() - self.last_active_at, 3),
         )
-        if self._charged_unsent_bytes > MAX_SMALL_BYTES or self._closing:
-            self._server.memory.charge(-self._charged_unsent_bytes)
-            self._charged_unsent_bytes = 0
+        if undelivered_bytes > MAX_SMALL_BYTES or self._closing:
+            self._drop_held()
+            self._drop_partial()
+            for request in self._pending:
+                if request.response is not None:
+                    self._release(request)
+                    request.response = NO_RESPONSE
             self.abort()
         elif self._request is not None:
             self._fail(503, b"too many large requests", RETRY_HEADER)
@@ -465,7 +489,7 @@
             self._body = part
         else:
             if type(self._body) is bytes:
-                self._body = bytearray(self._body)
+                self._body = ChargedBuffer(self._server.memory, self._body)
             self._body += part
 
     def on_message_complete(self) -> None:
@@ -485,8 +509,7 @@
             self._fail(400, b"request has no Host header")
             return
         self._pending.append(request)
-        if self._charged_partial_bytes or len(request.body) + len(request.head) > UNCOUNTED_BYTES:
-            self._charge_request(request)
+        self._charge_request(request)
         self._handle(request)
         self._closing = self._closing or request.should_close or request is self._last_request
 
@@ -514,6 +537,8 @@
 
     def flush(self) -> None:
         """Writes the responses that are ready, up to the first request without one."""
+        if self._transport is None or self._transport.is_closing():
+            return
         out = []
         closes = is_large = False
         while self._pending and self._pending[0].response is not None and not closes:
@@ -526,16 +551,20 @@
                 out += request.take_parts(closes)
             else:
                 out.append(request.take_response(closes))
-        if not out or self._transport is None:
+        if not out:
             return
         self.last_active_at = self._loop.time()
-        if not is_large:
-            self._transport.write(out[0] if len(out) == 1 else b"".join(out))
+        if not is_large and len(out) > 1:
+            out = [b"".join(out)]
+        limit = 0 if self.unsent_bytes else MAX_SMALL_BYTES
+        hold = self._server.memory.hold
+        out = [hold(item) if len(item) > limit else item for item in out]
+        if self._transport.is_closing():
+            return  # It was given up to make room.
+        if len(out) == 1:
+            self._transport.write(out[0])
         else:
             self._transport.writelines(out)
-            self.charge_unsent()
-            if self._transport is None:
-                return
         self._check_room()
         if closes:
             self._closing = True
--- a/src/marjoramvalve/h1/incoming.py
+++ b/src/marjoramvalve/h1/incoming.py
@@ -4,8 +4,7 @@
 from http import HTTPStatus
 from typing import Protocol
 
-from marjoramvalve.links import MAX_SMALL_BYTES
-
+NO_RESPONSE = b"", b""
 NO_BODY_STATUSES = frozenset({204, 304})
 STATUS_LINES = {
     status.value: b"HTTP/1.1 %d %s\r\n" % (status.value, status.phrase.encode())
@@ -25,19 +24,20 @@
     is_late: bool
     serves_upstream: bool
 
-    def charge_response(self, request: "IncomingRequest", size: int) -> None:
-        """Counts the memory of a response that is ready."""
-
     def flush(self) -> None:
         """Writes the responses that are ready."""
 
+    def hold_response(self, request: "IncomingRequest") -> None:
+        """Counts the memory of a response that can't be written yet."""
+
 
 class IncomingRequest:
     """A complete request and its response.
 
     `head` holds the header lines to forward. `target` is the request target as received, except
     that the query parameters that contain the caller's key are removed. `response` holds the head
-    of the response, without its end, and the body.
+    of the response, without its end, and the body; it is `NO_RESPONSE` once they have been taken.
+    `charged_bytes` is what its connection has charged for it.
     """
 
     __slots__ = (
@@ -91,9 +91,9 @@
             framed = line + head + b"Content-Length: %d\r\n" % len(body)
             self.response = framed, b"" if self.method == b"HEAD" else body
         self.discard()
-        if self.charged_bytes or len(body) > MAX_SMALL_BYTES:
-            self.conn.charge_response(self, len(self.response[1]))
         self.conn.flush()
+        if self.response is not NO_RESPONSE:
+            self.conn.hold_response(self)
 
     def discard(self) -> None:
         """Frees what the caller has sent, which others may still refer to through the request."""
@@ -105,7 +105,7 @@
         Others may still hold the request. `closes` tells whether the connection closes after it.
         """
         head, body = self.response
-        self.response = b"", b""
+        self.response = NO_RESPONSE
         end = b"Connection: close\r\n\r\n" if closes else b"\r\n"
         return b"".join((head, end, body))
 
--- a/src/marjoramvalve/h1/servers.py
+++ b/src/marjoramvalve/h1/servers.py
@@ -63,8 +63,6 @@
 
     def _limit_unsent_bytes(self) -> None:
         unsent = {conn: size for conn in self.connections if (size := conn.unsent_bytes)}
-        for conn in list(self.connections):
-            conn.charge_unsent()
         excess = sum(unsent.values()) - MAX_UNSENT_BYTES_IN_TOTAL
         for conn in sorted(unsent, key=unsent.get, reverse=True):
             if excess <= 0:
--- a/src/marjoramvalve/h1/upstreams.py
+++ b/src/marjoramvalve/h1/upstreams.py
@@ -12,7 +12,13 @@
 import structlog
 
 from marjoramvalve.h1.headers import CONNECTION_HEADERS, HeaderNames
-from marjoramvalve.links import Holding, MemoryBudget, allocated_bytes, split_address
+from marjoramvalve.links import (
+    MAX_SMALL_BYTES,
+    ChargedBuffer,
+    Holding,
+    MemoryBudget,
+    split_address,
+)
 
 CONNECT_S = 1.0  # The upstream runs on the same machine, so no time is allowed for lost packets.
 MAX_IDLE_S = 4.0  # Below the usual idle timeouts of upstreams.
@@ -223,7 +229,7 @@
 
     def _discard_body(self) -> None:
         self._pool.count_buffered_bytes(-self.buffered_bytes)
-        self._body: list[bytes] = []
+        self._body: bytes | ChargedBuffer = b""
         self.buffered_bytes = 0
 
     def give_up(self, reason: str) -> None:
@@ -319,13 +325,15 @@
         self._received_body_bytes += len(part)
         if self.exchange is not None:
             self.buffered_bytes += len(part)
-            if not self._body:
-                self._body.append(part)
+            if not self._body and len(part) <= MAX_SMALL_BYTES:
+                self._body = part
             else:
-                if type(self._body[0]) is bytes:
-                    self._body[0] = bytearray(self._body[0])
-                self._body[0] += part
+                if type(self._body) is bytes:
+                    self._body = ChargedBuffer(self._pool.memory, self._body)
+                self._body += part
             self._pool.count_buffered_bytes(len(part))
+            if type(self._body) is ChargedBuffer:
+                self._body.charge()
 
     def on_message_complete(self) -> None:
         """Completes a response, unless it is interim or belongs to another request."""
@@ -351,7 +359,7 @@
         if self._not_run or status == MISDIRECTED:
             self._refused.add(exchange.attempt)
             self._should_close = self._should_close or len(self._refused) >= MAX_REFUSED
-        body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
+        body = self._body if len(self._body) > MAX_SMALL_BYTES else bytes(self._body)
         response = UpstreamResponse(
             status,
             b"".join(self._header_lines),
@@ -407,8 +415,7 @@
         """Adds to the buffered body bytes; above the limit the largest response is abandoned."""
         if not size:
             return
-        previous, self._buffered_bytes = self._buffered_bytes, self._buffered_bytes + size
-        self.memory.charge(allocated_bytes(self._buffered_bytes) - allocated_bytes(previous))
+        self._buffered_bytes += size
         if self._buffered_bytes > MAX_BUFFERED_BYTES:
             largest = max(self._connections, key=lambda conn: conn.buffered_bytes)
             largest.fail(f"responses in progress exceed {MAX_BUFFERED_BYTES} bytes")
--- a/src/marjoramvalve/links/__init__.py
+++ b/src/marjoramvalve/links/__init__.py
@@ -11,15 +11,20 @@
 )
 from marjoramvalve.links.memory_budgets import (
     MAX_SMALL_BYTES,
+    UNCOUNTED_BYTES,
+    ChargedBuffer,
     Holding,
     MemoryBudget,
     allocated_bytes,
+    plain_bytes,
 )
 
 __all__ = [
     "ADDRESS_PATTERN",
     "MAX_FRAME_BYTES",
     "MAX_SMALL_BYTES",
+    "UNCOUNTED_BYTES",
+    "ChargedBuffer",
     "FrameStream",
     "Holding",
     "Listener",
@@ -27,5 +32,6 @@
     "allocated_bytes",
     "connect_stream",
     "is_address",
+    "plain_bytes",
     "split_address",
 ]
--- a/src/marjoramvalve/links/frames.py
+++ b/src/marjoramvalve/links/frames.py
@@ -7,12 +7,20 @@
 import errno
 import re
 import struct
+from collections.abc import Iterator
 from typing import Protocol
 
 import msgspec
 import structlog
 
-from marjoramvalve.links.memory_budgets import MemoryBudget, allocated_bytes
+from marjoramvalve.links.memory_budgets import (
+    MAX_SMALL_BYTES,
+    STALLED_S,
+    ChargedBuffer,
+    Holding,
+    MemoryBudget,
+    allocated_bytes,
+)
 
 HEADER = struct.Struct("<IB")
 MAX_FRAME_BYTES = 96 << 20  # Fits a body at the largest configurable limit, with its head.
@@ -80,6 +88,7 @@
         self._large: bytearray | None = None  # Payload of a large frame that is arriving.
         self._large_kind = self._large_bytes = self._large_left = 0
         self._is_dropping = False
+        self._charged_bytes = 0  # Of frames that are arriving and not large.
         self.last_received_at = loop.time()
         self.owner_data: object = None  # For use by the owner; not read here.
 
@@ -91,13 +100,20 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Notifies the owner."""
         self._transport = transport
+        if self._memory is not None:
+            self._memory.sources.append(self._holdings)
         self._owner.stream_opened(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Drops unsent frames and notifies the owner."""
         self._transport = None
         self._outgoing.clear()
-        self._release_large()
+        self._chunks.clear()
+        self._large = None
+        if self._memory is not None:
+            self._memory.sources.remove(self._holdings)
+            self._buffered_bytes = 0
+            self._charge_buffered()
         self._owner.stream_closed(self)
 
     def data_received(self, data: bytes) -> None:
@@ -110,6 +126,16 @@
             data = self._receive_large(data)
             if not data or not self.is_open:
                 return
+        self._receive(data)
+        self._charge_buffered()
+
+    def _charge_buffered(self) -> None:
+        size = self._buffered_bytes if self._buffered_bytes > MAX_SMALL_BYTES else 0
+        if size != self._charged_bytes and self._memory is not None:
+            added, self._charged_bytes = size - self._charged_bytes, size
+            self._memory.charge(added)
+
+    def _receive(self, data: bytes) -> None:
         self._chunks.append(data)
         self._buffered_bytes += len(data)
         if self._buffered_bytes < self._needed_bytes:
@@ -153,7 +179,8 @@
         )
         self._large = bytearray()
         if self._memory is not None and not self._is_dropping:
-            self._memory.charge(allocated_bytes(length))
+            self._large = ChargedBuffer(self._memory)
+            self._large.charge(length)
         self._receive_large(data)
 
     def _receive_large(self, data: bytes) -> bytes:
@@ -167,9 +194,8 @@
         elif len(self._large) < MAX_DROPPED_PREFIX_BYTES:
             self._large += data[: MAX_DROPPED_PREFIX_BYTES - len(self._large)]
         if self._large_left == 0:
-            payload, is_dropped = self._large, self._is_dropping
-            self._release_large()
-            if is_dropped:
+            payload, self._large = self._large, None
+            if self._is_dropping:
                 self._drop(bytes(payload))
             else:
                 self._pass_on(self._large_kind, payload)
@@ -184,13 +210,6 @@
             log.warning("frame.invalid", kind=self._large_kind, error=str(exc)[:200])
             self.abort()
 
-    def _release_large(self) -> None:
-        if self._large is None:
-            return
-        self._large = None
-        if self._memory is not None and not self._is_dropping:
-            self._memory.charge(-allocated_bytes(self._large_bytes))
-
     def send(self, kind: int, payload: bytes, rest: bytes | bytearray = b"") -> None:
         """Queues a frame, which is written in the next iteration of the event loop.
 
@@ -209,15 +228,38 @@
         outgoing, self._outgoing = self._outgoing, []
         if self._transport is None or not outgoing:
             return
-        if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+        unsent_bytes = self.unsent_bytes
+        if unsent_bytes > MAX_UNSENT_BYTES:
             self.abort()  # One large frame may exceed the limit, but not what comes behind it.
-        elif len(outgoing) == 1:
+            return
+        if len(outgoing) > 1 and sum(map(len, outgoing)) < LARGE_FRAME_BYTES:
+            outgoing = [b"".join(outgoing)]
+        if self._memory is not None:
+            limit = 0 if unsent_bytes else MAX_SMALL_BYTES
+            outgoing = [self._memory.hold(item) if len(item) > limit else item for item in outgoing]
+        if not self.is_open:
+            return  # It was given up to make room.
+        if len(outgoing) == 1:
             self._transport.write(outgoing[0])
-        elif sum(map(len, outgoing)) < LARGE_FRAME_BYTES:
-            self._transport.write(b"".join(outgoing))
         else:
             self._transport.writelines(outgoing)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Returns how many bytes of frames the peer has not taken yet."""
+        return self._transport.get_write_buffer_size() if self._transport is not None else 0
+
+    def _holdings(self) -> Iterator[Holding]:
+        """Yields what waits for a peer that is silent."""
+        unsent_bytes = self.unsent_bytes
+        if unsent_bytes and self._loop.time() > self.last_received_at + STALLED_S and self.is_open:
+            yield Holding(unsent_bytes, self.last_received_at, self._give_up)
+
+    def _give_up(self, reason: str) -> None:
+        self._memory.count_refusal(f"link_{reason}")
+        log.warning("link.given_up", bytes=self.unsent_bytes)
+        self.abort()
+
     def close(self) -> None:
         """Closes the connection after sending the queued frames."""
         self._flush()
--- a/src/marjoramvalve/links/memory_budgets.py
+++ b/src/marjoramvalve/links/memory_budgets.py
@@ -10,7 +10,9 @@
 MEMORY_SHARE = 0.4  # Of the machine's memory; the rest is for the process itself and its copies.
 DESCRIPTOR_SHARE = 0.5  # Of the descriptors; links, upstream connections and files need the rest.
 MAX_SMALL_BYTES = 16 << 10  # Holdings up to this size don't give way while they move.
+UNCOUNTED_BYTES = 2 << 10  # Messages up to this size are bounded by their number.
 STALLED_S = 1.0
+FREED_S = 0.1  # What was given up is in memory for at most this long, in its write buffer.
 RELIEF_SHARE = 1 / 8  # Freed below the limit, so that relief is not needed for every piece.
 
 
@@ -50,6 +52,36 @@
     return chosen
 
 
+class ChargedBuffer(bytearray):
+    """Bytes of a peer that count in a budget until the last reference to them is gone.
+
+    A message is charged once in a process, however many requests, calls, connections and write
+    buffers refer to it, and as long as any of them does.
+    """
+
+    __slots__ = ("_budget", "charged_bytes")
+
+    def __init__(self, budget: "MemoryBudget", data: bytes | bytearray = b"") -> None:
+        super().__init__(data)
+        self._budget = budget
+        self.charged_bytes = 0
+
+    def charge(self, reserved_bytes: int = 0) -> None:
+        """Charges what was added since the last time, or all that will be added."""
+        size = allocated_bytes(max(len(self), reserved_bytes))
+        if size > self.charged_bytes:
+            added, self.charged_bytes = size - self.charged_bytes, size
+            self._budget.charge(added)
+
+    def __del__(self) -> None:
+        self._budget.release(self.charged_bytes)
+
+
+def plain_bytes(data: bytes | bytearray) -> int:
+    """Returns how many bytes a message takes that aren't charged by themselves."""
+    return 0 if isinstance(data, ChargedBuffer) else len(data)
+
+
 class MemoryBudget:
     """Counts the bytes held for all peers of a process. Without a limit, nothing is refused.
 
@@ -71,12 +103,43 @@
         self.refused: dict[str, int] = {}
         self.on_refusal: Callable[[str], None] = lambda reason: None
         self._is_relieving = False
+        self._awaited_bytes = 0  # Given up, but not freed yet.
+        self._awaited_until = 0.0
+
+    @property
+    def is_ample(self) -> bool:
+        """Returns whether at least half of the budget is free."""
+        return self.limit_bytes is None or 2 * self.used_bytes <= self.limit_bytes
+
+    def hold(self, data: bytes | bytearray) -> bytes | bytearray:
+        """Returns bytes that are charged until they are freed."""
+        if isinstance(data, ChargedBuffer):
+            return data
+        buffer = ChargedBuffer(self, data)
+        buffer.charge()
+        return buffer
 
     def charge(self, size: int) -> None:
         """Adds bytes that are held, or a negative number of them; frees others above the limit."""
+        if size <= 0:
+            self.release(-size)
+            return
         self.used_bytes += size
         if self.limit_bytes is not None and self.used_bytes > self.limit_bytes:
-            self._relieve(self.used_bytes - self.limit_bytes)
+            excess = self._excess(0)
+            if excess > 0:
+                self._relieve(excess)
+
+    def release(self, size: int) -> None:
+        """Gives back bytes that are freed."""
+        self.used_bytes -= size
+        if self._awaited_bytes:
+            self._awaited_bytes = max(0, self._awaited_bytes - size)
+
+    def _excess(self, size: int) -> int:
+        if self._awaited_bytes and self._clock() > self._awaited_until:
+            self._awaited_bytes = 0
+        return self.used_bytes + size - self._awaited_bytes - self.limit_bytes
 
     def has_room(self, size: int) -> bool:
         """Returns whether so many more bytes fit, after others have given way if need be."""
@@ -84,10 +147,10 @@
             return True
         if size > self.limit_bytes:
             return False
-        excess = self.used_bytes + size - self.limit_bytes
+        excess = self._excess(size)
         if excess > 0:
             self._relieve(excess)
-        return self.used_bytes + size <= self.limit_bytes
+        return self._excess(size) <= 0
 
     def count_refusal(self, reason: str) -> None:
         """Counts a refusal or a closed connection."""
@@ -102,6 +165,10 @@
             holdings = [item for source in self.sources for item in source()]
             excess += int(RELIEF_SHARE * self.limit_bytes)
             for item in choose_holdings(holdings, excess, self._clock()):
+                used_bytes = self.used_bytes
                 item.give_up("memory")
+                # Write buffers are freed once their connections have been closed.
+                self._awaited_bytes += max(0, item.size - (used_bytes - self.used_bytes))
+            self._awaited_until = self._clock() + FREED_S
         finally:
             self._is_relieving = False
--- a/src/marjoramvalve/mesh/outcomes.py
+++ b/src/marjoramvalve/mesh/outcomes.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, replace
 
-from marjoramvalve.links import MemoryBudget, allocated_bytes
+from marjoramvalve.links import UNCOUNTED_BYTES, MemoryBudget, plain_bytes
 
 RETENTION_S = 12.0  # After the call's deadline; the egress gives up on the call at the deadline.
 
@@ -26,6 +26,12 @@
         """Returns how many bytes it takes."""
         return len(self.payload) + len(self.body)
 
+    @property
+    def charged_bytes(self) -> int:
+        """Returns how many bytes are charged for it. A large body is charged by itself."""
+        size = len(self.payload) + plain_bytes(self.body)
+        return size if size > UNCOUNTED_BYTES else 0
+
 
 class OutcomeStore:
     """Outcomes that one egress has not acknowledged yet, by call ID.
@@ -69,10 +75,10 @@
         """Stores an outcome that is being sent. Times are on the event loop's clock."""
         self._transmissions += 1
         expires_at = max(now, deadline) + RETENTION_S
-        self._outcomes[call_id] = Outcome(kind, payload, expires_at, self._transmissions, body)
-        self.stored_bytes += len(payload) + len(body)
-        if body:
-            self._memory.charge(allocated_bytes(len(body)))
+        outcome = Outcome(kind, payload, expires_at, self._transmissions, body)
+        self._outcomes[call_id] = outcome
+        self.stored_bytes += outcome.size
+        self._memory.charge(outcome.charged_bytes)
 
     def resend(self, call_id: int) -> Outcome | None:
         """Returns the outcome of a call that is being sent again, or None."""
@@ -107,8 +113,7 @@
     def _remove(self, call_id: int) -> None:
         outcome = self._outcomes.pop(call_id)
         self.stored_bytes -= outcome.size
-        if outcome.body:
-            self._memory.charge(-allocated_bytes(len(outcome.body)))
+        self._memory.release(outcome.charged_bytes)
 
     def _forget(self, call_id: int) -> None:
         self._unknown_up_to = max(self._unknown_up_to, call_id)
--- a/src/marjoramvalve/mesh/peers.py
+++ b/src/marjoramvalve/mesh/peers.py
@@ -373,7 +373,7 @@
             self._callbacks.call_failed(self, call, ErrorCode.BROKEN)
             return
         head = bytes(payload[RESPONSE.size : split])
-        if type(payload) is bytearray:
+        if isinstance(payload, bytearray):
             del payload[:split]
             body = payload
         else:
--- a/src/marjoramvalve/mesh/sessions.py
+++ b/src/marjoramvalve/mesh/sessions.py
@@ -14,7 +14,14 @@
 import structlog
 
 from marjoramvalve.h1 import UpstreamResponse
-from marjoramvalve.links import MAX_SMALL_BYTES, FrameStream, Holding, MemoryBudget, allocated_bytes
+from marjoramvalve.links import (
+    MAX_SMALL_BYTES,
+    UNCOUNTED_BYTES,
+    FrameStream,
+    Holding,
+    MemoryBudget,
+    plain_bytes,
+)
 from marjoramvalve.mesh.frames import (
     CALL_ID,
     CANCEL,
@@ -65,7 +72,7 @@
         self.disconnected_at = 0.0
         self.jobs: dict[int, Job] = {}
         self.outcomes = OutcomeStore(last_call_id, server.memory)
-        self._charged: dict[int, int] = {}  # Bytes of large requests in progress, by call ID.
+        self._charged: dict[int, int] = {}  # Bytes of requests in progress, by call ID.
         self._server = server
         self._pinged_after: int | None = None  # Transmissions before the unanswered ping.
         self._is_stop_in_ping = False  # The ping was sent after the news that the ingress stops.
@@ -82,9 +89,10 @@
         self.disconnected_at = now
 
     def charge(self, job: Job) -> None:
-        """Counts a large request until it is done."""
-        if len(job.body) > MAX_SMALL_BYTES:
-            size = self._charged[job.call_id] = allocated_bytes(len(job.body))
+        """Counts a request until it is done. A large body counts by itself."""
+        size = len(job.head) + plain_bytes(job.body)
+        if size > UNCOUNTED_BYTES:
+            self._charged[job.call_id] = size
             self._server.memory.charge(size)
 
     def drop(self, job: Job) -> None:
@@ -380,10 +388,14 @@
             session.resume([call_id])
             return
         offset = REQUEST.size
-        large, body_at = b"", offset + route_len + attempt_len + head_len
-        if type(payload) is bytearray:
-            large, payload = payload, bytes(payload[:body_at])
-            del large[:body_at]
+        body_at = offset + route_len + attempt_len + head_len
+        if isinstance(payload, bytearray):
+            body, payload = payload, bytes(payload[:body_at])
+            del body[:body_at]
+        else:
+            body = payload[body_at:]
+            if len(body) > MAX_SMALL_BYTES:
+                body = self.memory.hold(body)
         route = payload[offset : offset + route_len]
         offset += route_len
         attempt = payload[offset : offset + attempt_len]
@@ -400,7 +412,7 @@
             route,
             attempt,
             head,
-            large or payload[body_at:],
+            body,
             now + until_deadline_ms / 1000,
             now + until_objective_ms / 1000,
             now - age_ms / 1000,
--- a/src/marjoramvalve/mesh/upstream_requests.py
+++ b/src/marjoramvalve/mesh/upstream_requests.py
@@ -1,9 +1,9 @@
 """Requests of calls as they are sent to the upstream."""
 
+from marjoramvalve.links import MAX_SMALL_BYTES
 from marjoramvalve.mesh.jobs import Job
 
 BODY_METHODS = (b"POST", b"PUT", b"PATCH")
-MAX_COPIED_BODY_BYTES = 64 << 10  # A larger body is sent apart from the head, without a copy.
 
 
 def encode_request(
@@ -16,7 +16,7 @@
     framing = b""
     if job.body or job.head.startswith(BODY_METHODS):
         framing = b"Content-Length: %d\r\n" % len(job.body)
-    is_large = len(job.body) > MAX_COPIED_BODY_BYTES
+    is_large = len(job.body) > MAX_SMALL_BYTES  # Sent apart from the head, without a copy.
     text = b"%b%b%b: %d\r\n%b: %b\r\n\r\n%b" % (
         job.head,
         framing,
--- a/tests/test_freed_calls.py
+++ b/tests/test_freed_calls.py
@@ -9,6 +9,7 @@
 from marjoramvalve.h1.upstreams import Exchange, UpstreamConnection
 from marjoramvalve.mesh.calls import Call
 from marjoramvalve.mesh.jobs import Job
+from marjoramvalve.mesh.sessions import SWEEP_INTERVAL_S
 from tests.meshes import make_document, ok_response, reset_connection
 from tests.test_mesh import MeshTestCase
 
@@ -43,10 +44,12 @@
             caller.writer.transport.abort()
             for node in self.bench.nodes:
                 node.ingress.pool.close()
-            await asyncio.sleep(0.1)
-            return count_objects()
+            await asyncio.sleep(0.3)  # The ingress waits a little longer than the egress.
+            objects = count_objects()
+            await asyncio.sleep(SWEEP_INTERVAL_S + 0.2)  # Until outcomes are acknowledged.
+            return objects, [node.memory.used_bytes for node in self.bench.nodes]
 
-        self.assertEqual(self.bench.run(play()), {})
+        self.assertEqual(self.bench.run(play()), ({}, [0, 0]))
 
     def check_requests(self, respond, status, **options):
         async def send(caller):
@@ -59,6 +62,9 @@
     async def answer(self, request, writer):
         writer.write(ok_response(request))
 
+    async def answer_at_length(self, request, writer):
+        writer.write(ok_response(request, b"x" * 300_000))
+
     async def reset(self, request, writer):
         reset_connection(writer)
 
@@ -73,14 +79,18 @@
     def test_answered(self):
         self.check_requests(self.answer, 200, body="x" * 65_000)
 
+    def test_answered_at_length(self):
+        self.check_requests(self.answer_at_length, 200, body="x" * 300_000)
+
     def test_failed(self):
-        self.check_requests(self.reset, 502)
+        self.check_requests(self.reset, 502, body="x" * 65_000)
 
     def test_shed(self):
-        self.check_requests(self.shed, 503)
+        self.check_requests(self.shed, 503, body="x" * 65_000)
 
     def test_expired(self):
-        self.check_requests(self.never_answer, 504, extra="Marjoramvalve-Deadline-Ms: 50\r\n")
+        extra = "Marjoramvalve-Deadline-Ms: 50\r\n"
+        self.check_requests(self.never_answer, 504, extra=extra, body="x" * 65_000)
 
     def test_left_by_their_callers(self):
         async def send(caller):
@@ -90,6 +100,44 @@
 
         self.check_freed(self.never_answer, send)
 
+    def test_left_while_their_orders_run(self):
+        async def answer_late(request, writer):
+            await asyncio.sleep(0.3)
+            writer.write(ok_response(request, b"x" * 300_000))
+
+        async def send(caller):
+            for number in range(4):
+                other = await self.bench.connect_caller(self.bench.nodes[0])
+                other.send("/order/", f"a{number}", body="x" * 300_000, method="POST")
+                await asyncio.sleep(0.05)
+                other.writer.transport.abort()
+            await asyncio.sleep(0.5)
+
+        self.check_freed(answer_late, send)
+
+    def test_not_read_by_their_callers(self):
+        async def send(caller):
+            caller.writer.transport.pause_reading()
+            for number in range(50):
+                caller.send("/read/", f"a{number}")
+            await asyncio.sleep(0.2)
+
+        self.check_freed(self.answer_at_length, send, slots=64)
+
+    def test_waiting_for_a_slow_one(self):
+        async def answer_first_late(request, writer):
+            if " /read/slow" in request:
+                await asyncio.sleep(3600)
+            writer.write(ok_response(request, b"x" * 15_000))
+
+        async def send(caller):
+            caller.send("/read/slow", "a0")
+            for number in range(1, 50):
+                caller.send("/read/", f"a{number}")
+            await asyncio.sleep(0.2)
+
+        self.check_freed(answer_first_late, send, slots=64)
+
     def test_unfinished(self):
         async def send(caller):
             caller.writer.write(b"PUT /read/ HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nx")
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -245,22 +245,25 @@
         await reader.readexactly(int(re.search(r"(?i)content-length: (\d+)", head)[1]))
         return int(head.split()[1])
 
-    async def _send_patiently(self, node, head, body, has_ended):
-        """Sends a request until it is not refused, or until `has_ended()` while it runs."""
+    async def _send_patiently(self, streams, node, request, has_ended=lambda: False):
+        """Sends a request until it is not refused, or until `has_ended()` while it runs.
+
+        `streams` are the reader and the writer of the first connection.
+        """
         for _ in range(60):
             with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-                reader, writer = await self._connect(node)
-                writer.write(head + body)
-                status = asyncio.ensure_future(self._read_status(reader))
-                while not status.done() and not has_ended():
-                    await asyncio.sleep(0.05)
-                if not status.done():
-                    status.cancel()
+                reader, writer = streams or await self._connect(node)
+                streams = None
+                response = asyncio.ensure_future(self._read_status(reader))
+                try:
+                    writer.write(request)
+                    while not response.done() and not has_ended():
+                        await asyncio.sleep(0.05)
+                    if not response.done() or response.result() != 503:
+                        return
+                finally:
+                    response.cancel()
                     writer.transport.abort()
-                    return
-                writer.transport.abort()
-                if status.result() != 503:
-                    return
             await asyncio.sleep(0.2)
 
     @staticmethod
@@ -368,16 +371,18 @@
     def test_long_bodies_that_are_answered_before_they_are_read(self):
         async def send(reader, writer, number):
             head = self.head(number, f"Content-Length: {MAX_BODY_BYTES}\r\n", "/a/early")
-            await self._send_patiently(EGRESS, head, bytes(MAX_BODY_BYTES), lambda: False)
+            await self._send_patiently((reader, writer), EGRESS, head + bytes(MAX_BODY_BYTES))
 
         self.play(send, crowd=40)
 
     def test_bodies_that_run_after_their_callers_have_left(self):
         async def send(reader, writer, number):
             head = self.head(number, f"Content-Length: {MAX_BODY_BYTES}\r\n", "/a/work")
-            has_started = self.backend.started.__contains__
             await self._send_patiently(
-                INGRESS, head, bytes(MAX_BODY_BYTES), lambda: has_started(f"c{number}")
+                (reader, writer),
+                INGRESS,
+                head + bytes(MAX_BODY_BYTES),
+                lambda: f"c{number}" in self.backend.started,
             )
 
         self.play(send, crowd=30, node=INGRESS, kind="unsafe")
