Close upstream connections that still hold a part of the request

Cause: a complete response ends the exchange, and the connection goes back to the pool while its write buffer holds the unsent rest of the request, until the upstream reads on or closes.

Change: a connection with unsent bytes is closed after the response instead of reused, which frees them. The upstream has answered, so nothing is lost.

--- a/src/marjoramvalve/h1/upstreams.py
+++ b/src/marjoramvalve/h1/upstreams.py
@@ -162,6 +162,11 @@
         """Whether the connection can be used."""
         return self._transport is not None and not self._transport.is_closing()
 
+    @property
+    def is_sending(self) -> bool:
+        """Whether the upstream has not taken all of the request yet."""
+        return self._transport is not None and self._transport.get_write_buffer_size() > 0
+
     def may_carry(self, exchange: Exchange) -> bool:
         """Returns whether only this run of a request can be answered on the connection.
 
@@ -540,8 +545,13 @@
             exchange.conn.abort()
 
     def release(self, conn: UpstreamConnection, should_close: bool, keep_alive_s: float) -> None:
-        """Returns a connection to the pool after a complete response, or closes it."""
-        if should_close or conn._should_close or not conn.is_open or conn.exchange is not None:
+        """Returns a connection to the pool after a complete response, or closes it.
+
+        It is closed if the upstream has answered before it has read the request, whose rest would
+        be kept until it does.
+        """
+        is_reusable = conn.is_open and not (should_close or conn._should_close or conn.is_sending)
+        if not is_reusable or conn.exchange is not None:
             if conn.exchange is None:
                 conn.abort()
             return
--- a/tests/test_memory_charges.py
+++ b/tests/test_memory_charges.py
@@ -1,8 +1,11 @@
 """What is charged to a memory budget, and until when."""
 
+import asyncio
 import unittest
 
 from marjoramvalve.links import ChargedBuffer, Holding, MemoryBudget, allocated_bytes
+from tests.meshes import FakeUpstream, ok_response
+from tests.test_mesh import MeshTestCase
 
 MIB = 1 << 20
 
@@ -58,3 +61,37 @@
         del buffers["a"]
         budget.charge(20 * MIB)
         self.assertEqual(given_up, ["a", "b"])
+
+
+class HastyUpstream(FakeUpstream):
+    """An upstream that answers long requests before it reads them, and reads nothing further."""
+
+    async def _serve(self, reader, writer):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        writer.write(ok_response(head))
+        writer.transport.pause_reading()
+        await asyncio.sleep(3600)
+
+
+class EarlyResponseTests(MeshTestCase):
+    """Requests that are answered before the upstream has read them."""
+
+    def test_rest_of_the_request_is_freed_after_the_response(self):
+        async def play():
+            caller = await self.connect_pair(None)
+            hasty = HastyUpstream(None)
+            await hasty.start()
+            node = self.bench.nodes[1]
+            node.ingress.pool.set_address(hasty.address)
+            statuses = [
+                (await caller.request("/order/", f"a{number}", method="POST", body="x" * 12 * MIB))[
+                    0
+                ]
+                for number in range(3)
+            ]
+            await asyncio.sleep(0.1)
+            held = [item.memory.used_bytes for item in self.bench.nodes]
+            hasty.close()
+            return statuses, held
+
+        self.assertEqual(self.bench.run(play()), ([200] * 3, [0, 0]))
