--- a/src/marjoramvalve/links/memory_budgets.py
+++ b/src/marjoramvalve/links/memory_budgets.py
@@ -111,6 +111,10 @@
         """Returns whether at least half of the budget is free."""
         return self.limit_bytes is None or 2 * self.used_bytes <= self.limit_bytes
 
+    def can_fit(self, size: int) -> bool:
+        """Returns whether a message of this size fits while nothing else is held."""
+        return self.limit_bytes is None or allocated_bytes(size) <= self.limit_bytes
+
     def hold(self, data: bytes | bytearray) -> bytes | bytearray:
         """Returns bytes that are charged until they are freed."""
         if isinstance(data, ChargedBuffer):
--- a/src/marjoramvalve/mesh/nodes.py
+++ b/src/marjoramvalve/mesh/nodes.py
@@ -129,6 +129,9 @@
         """Applies a version of the configuration."""
         self.egress.table = RouteTable(version, document)
         self.callers.limits = document.callers
+        body_bytes = document.callers.body_bytes
+        if not self.memory.can_fit(body_bytes):
+            log.warning("memory.short", body_bytes=body_bytes, held_bytes=self.memory.limit_bytes)
         self.quarantine.hold_s = document.policy.quarantine_s
         self.egress.spillovers.is_enabled = document.policy.spillover
         service = document.services.get(self.options.service)
