Disconnect callers for their pace, not for the size of a response

What callers saw: a response of 32 MB that is read at 10 MB/s is cut off after half a second; with half of the descriptors taken by callers that don't read, or that were refused and have not closed, new callers are turned away for up to 20 s.

Cause: a caller with more than 16 MB unsent was disconnected at the next check, whatever it reads, and callers with 64 MB unsent in sum as well; the time-out counted from the response and not from what was read. Only idle callers and stalled requests made room for new connections.

Change: a caller is disconnected if it takes nothing for 20 s, or less than 64 KB/s on the whole. The budget bounds the sum. Refused callers and, after a second, those that don't read make room for new ones.

--- a/src/marjoramvalve/h1/callers.py
+++ b/src/marjoramvalve/h1/callers.py
@@ -1,6 +1,7 @@
 """Connections of callers: whole requests are buffered and answered in request order."""
 
 import asyncio
+import math
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -25,9 +26,10 @@
 # isn't noticed; above the second one, of all connections, no more requests are taken from it.
 MAX_HELD_BYTES = 64 << 10
 MAX_HELD_BYTES_IN_TOTAL = 32 << 20
-MAX_UNSENT_BYTES = 16 << 20  # Response bytes buffered for a slow caller before it is disconnected.
-# A caller with unsent responses is disconnected this long after the last request or response data.
+# A caller that takes no response data for this long is disconnected, and so is one that takes it
+# more slowly than this on the whole.
 SEND_TIMEOUT_S = 20.0
+MIN_SEND_BYTES_PER_S = 64 << 10
 # Requests that wait behind another one on their connection, with all that is kept for each.
 PIPELINED_REQUEST_BYTES = 2 << 10
 LINGER_S = 1.0  # How long a caller has to close a connection after the last response on it.
@@ -59,6 +61,7 @@
         "_is_paused",
         "_is_write_blocked",
         "_last_request",
+        "_last_unsent_bytes",
         "_lingers_until",
         "_loop",
         "_parsed_bytes",
@@ -66,6 +69,8 @@
         "_pending",
         "_received_bytes",
         "_request",
+        "_send_until",
+        "_sent_at",
         "_server",
         "_transport",
         "is_late",
@@ -103,7 +108,9 @@
         self.is_local = False
         self.is_late = False  # Opened after the server had stopped accepting others.
         self.serves_upstream = False  # Carries the calls of the upstream beside the node.
-        self.last_active_at = self._arrived_at = self._loop.time()
+        self._last_unsent_bytes = 0
+        self._send_until = math.inf
+        self.last_active_at = self._arrived_at = self._sent_at = self._loop.time()
         self.request_started_at = 0.0
 
     # Transport
@@ -303,7 +310,7 @@
     @property
     def dispensable_bytes(self) -> int:
         """Returns how many bytes are freed by giving up the connection."""
-        if self._transport is None or self._transport.is_closing():
+        if not self.is_open:
             return 0
         held_bytes = sum(len(data) for _, data in self._held)
         return held_bytes + self._partial_bytes + self._undelivered_bytes
@@ -325,37 +332,63 @@
 
     @property
     def is_idle(self) -> bool:
-        """Returns whether nothing is in progress or arriving."""
-        return not (self._pending or self._request is not None or self._held or self._closing)
+        """Returns whether nothing is in progress, arriving or being sent."""
+        return not (
+            self._pending
+            or self._request is not None
+            or self._held
+            or self._closing
+            or self.unsent_bytes
+        )
+
+    @property
+    def is_open(self) -> bool:
+        """Returns whether the connection has not been closed yet."""
+        return self._transport is not None and not self._transport.is_closing()
 
     @property
     def is_arriving(self) -> bool:
         """Returns whether a request has begun to arrive and none is in progress."""
         return self._request is not None and not self._pending
 
+    @property
+    def moved_at(self) -> float:
+        """Returns when data last came from the caller or was taken by it."""
+        return max(self.last_active_at, self._sent_at)
+
+    @property
+    def is_lingering(self) -> bool:
+        """Returns whether all responses have been taken, and the caller has not closed yet."""
+        return self._lingers_until is not None and not self.unsent_bytes
+
+    def disconnect(self, reason: str) -> None:
+        """Closes the connection at once, and frees the responses that wait on it."""
+        self._server.memory.count_refusal(reason)
+        log.info("caller.disconnected", reason=reason, undelivered=self._undelivered_bytes)
+        self._drop_held()
+        self._drop_partial()
+        for request in self._pending:
+            if request.response is not None:
+                self._release(request)
+                request.response = NO_RESPONSE
+        self.abort()
+
     def give_up(self, reason: str) -> None:
         """Refuses the request that is arriving, which has not run, and frees what is held.
 
         A caller whose responses can't be delivered is disconnected.
         """
-        undelivered_bytes = self._undelivered_bytes
+        if self._undelivered_bytes > MAX_SMALL_BYTES or self._closing:
+            self.disconnect(reason)
+            return
         self._server.memory.count_refusal(reason)
         log.info(
             "caller.given_up",
             reason=reason,
             received=self._partial_bytes,
-            undelivered=undelivered_bytes,
             idle_s=round(self._loop.time() - self.last_active_at, 3),
         )
-        if undelivered_bytes > MAX_SMALL_BYTES or self._closing:
-            self._drop_held()
-            self._drop_partial()
-            for request in self._pending:
-                if request.response is not None:
-                    self._release(request)
-                    request.response = NO_RESPONSE
-            self.abort()
-        elif self._request is not None:
+        if self._request is not None:
             self._fail(503, b"too many large requests", RETRY_HEADER)
         else:
             self.close_after_pending()
@@ -565,12 +598,20 @@
             self._transport.write(out[0])
         else:
             self._transport.writelines(out)
+        self._limit_sending(self.last_active_at)
         self._check_room()
         if closes:
             self._closing = True
             self._notify_disconnected()
             self._linger()
 
+    def _limit_sending(self, now: float) -> None:
+        """Sets until when the caller must have taken what it has been sent."""
+        unsent_bytes = self.unsent_bytes
+        if unsent_bytes:
+            self._last_unsent_bytes, self._sent_at = unsent_bytes, now
+            self._send_until = now + SEND_TIMEOUT_S + unsent_bytes / MIN_SEND_BYTES_PER_S
+
     def _linger(self) -> None:
         """Ends the responses, and closes once the caller has closed too or after a timeout.
 
@@ -633,9 +674,10 @@
         if self._transport is None:
             return
         unsent_bytes = self.unsent_bytes
-        if unsent_bytes > MAX_UNSENT_BYTES or (
-            unsent_bytes and now > self.last_active_at + SEND_TIMEOUT_S
-        ):
+        if unsent_bytes < self._last_unsent_bytes:
+            self._sent_at = now
+        self._last_unsent_bytes = unsent_bytes
+        if unsent_bytes and now > min(self._send_until, self.moved_at + SEND_TIMEOUT_S):
             self._transport.abort()
         elif self._lingers_until is not None:
             if not unsent_bytes and now > self._lingers_until:
--- a/src/marjoramvalve/h1/servers.py
+++ b/src/marjoramvalve/h1/servers.py
@@ -58,7 +58,8 @@
         now = self.loop.time()
         for conn in list(self.connections):
             conn.check_timeouts(now, self.limits)
-        self._limit_unsent_bytes()
+        if self.memory.limit_bytes is None:
+            self._limit_unsent_bytes()
         self._timeout_timer = self.loop.call_later(TIMEOUT_CHECK_INTERVAL_S, self._check_timeouts)
 
     def _limit_unsent_bytes(self) -> None:
@@ -73,28 +74,29 @@
     def _holdings(self) -> Iterator[Holding]:
         for conn in self.connections:
             if size := conn.dispensable_bytes:
-                yield Holding(size, conn.last_active_at, conn.give_up)
+                yield Holding(size, conn.moved_at, conn.give_up)
 
     def make_room(self) -> bool:
         """Returns whether one more connection may be open.
 
-        Where too many are, the one that has been idle longest is closed, or else the one whose
-        request has stalled longest is refused.
+        Where too many are, the one that has been idle longest is closed, or else the one that only
+        waits for its caller to close it, or else the one whose request has stalled longest is
+        refused, or else the one whose responses have not been read for longest is closed.
         """
         limit = self.memory.max_connections
         if limit is None or len(self.connections) < limit:
             return True
         stalled_before = self.loop.time() - STALLED_REQUEST_S
-        for candidates in (
-            [conn for conn in self.connections if conn.is_idle],
-            [
-                conn
-                for conn in self.connections
-                if conn.is_arriving and conn.last_active_at < stalled_before
-            ],
+        conns = [conn for conn in self.connections if conn.is_open]
+        stalled = [conn for conn in conns if conn.moved_at < stalled_before]
+        for candidates, close in (
+            ([conn for conn in conns if conn.is_idle], CallerConnection.give_up),
+            ([conn for conn in conns if conn.is_lingering], CallerConnection.disconnect),
+            ([conn for conn in stalled if conn.is_arriving], CallerConnection.give_up),
+            ([conn for conn in stalled if conn.unsent_bytes], CallerConnection.disconnect),
         ):
             if candidates:
-                min(candidates, key=lambda conn: conn.last_active_at).give_up("connections")
+                close(min(candidates, key=lambda conn: conn.moved_at), "connections")
                 return True
         return False
 
