Parse small chunks and requests a little at a time

What callers saw: beside 40 bodies in chunks of one byte, one of 20 ordinary requests had no answer after 5 s. Pieces of a byte behind requests that wait take 87 times what is charged for them.

Cause: whatever a read brought, up to 256 KB, was parsed before anything else, up to 60 ms for chunks of one byte and for each connection. Each piece that was held back took a tuple and an object of its own; their sum was computed, and the rest copied, for each further one.

Change: after a slice with more than 256 parts, the next one of the connection waits for its turn, eight connections to an iteration of the loop, and the connection is read no further meanwhile.

--- a/src/marjoramvalve/h1/callers.py
+++ b/src/marjoramvalve/h1/callers.py
@@ -9,6 +9,7 @@
 import structlog
 
 from marjoramvalve.h1.headers import CONNECTION_HEADERS
+from marjoramvalve.h1.held_data import HeldData
 from marjoramvalve.h1.incoming import NO_RESPONSE, IncomingRequest
 from marjoramvalve.h1.redaction import remove_key, remove_key_from_query
 from marjoramvalve.links import MAX_SMALL_BYTES, UNCOUNTED_BYTES, ChargedBuffer, plain_bytes
@@ -22,6 +23,10 @@
 # data is parsed at a time, so that the requests of a slice may come on top.
 MAX_PIPELINED = 64
 SLICE_BYTES = 8 << 10
+# A slice in which the parser finds more parts than this takes about a millisecond, and the next
+# one of its connection waits for its turn.
+MAX_PARTS = 256
+REQUEST_PARTS = 4  # What a request counts for beside the parts of its body.
 # Data received but not parsed. Above the first limit a connection isn't read, so that a disconnect
 # isn't noticed; above the second one, of all connections, no more requests are taken from it.
 MAX_HELD_BYTES = 64 << 10
@@ -58,6 +63,7 @@
         "_held",
         "_in_head",
         "_is_blocked",
+        "_is_deferred",
         "_is_paused",
         "_is_write_blocked",
         "_last_request",
@@ -66,6 +72,7 @@
         "_loop",
         "_parsed_bytes",
         "_parser",
+        "_parts",
         "_pending",
         "_received_bytes",
         "_request",
@@ -86,8 +93,10 @@
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._pending: deque[IncomingRequest] = deque()
-        self._held: deque[tuple[float, bytes]] = deque()  # Arrival time and data.
+        self._held = HeldData(server)
+        self._parts = 0  # Found by the parser in the present slice.
         self._is_blocked = False  # No requests are parsed: too many are in progress.
+        self._is_deferred = False  # Nothing is parsed until the turn of the connection.
         self._is_write_blocked = False
         self._is_paused = False
         self._request: IncomingRequest | None = None
@@ -134,7 +143,7 @@
         """Notifies the pending requests that their caller has disconnected."""
         self._transport = None
         self._server.connections.discard(self)
-        self._drop_held()
+        self._held.clear()
         self._drop_partial()
         for request in self._pending:
             self._release(request)
@@ -160,20 +169,26 @@
         if self._closing:
             return
         self.last_active_at = self._loop.time()
-        if self._is_blocked or self._held:
-            self._hold(self.last_active_at, data)
+        if self._is_blocked or self._is_deferred or self._held:
+            self._hold(data)
         else:
             self._parse_slices(self.last_active_at, data)
 
-    def _parse_slices(self, arrived_at: float, data: bytes) -> None:
+    def _parse_slices(self, arrived_at: float, data: bytes | bytearray) -> None:
+        """Parses data until the connection is blocked or deferred, and holds the rest back."""
         self._arrived_at = arrived_at
         for offset in range(0, len(data), SLICE_BYTES):
             if self._closing:
                 return
-            if self._is_blocked:
-                self._hold(arrived_at, data[offset:])
+            if self._is_blocked or self._is_deferred:
+                self._held.prepend(arrived_at, data[offset:])
+                self._limit_reading()
                 return
+            self._parts = 0
             self._parse(data if len(data) <= SLICE_BYTES else data[offset : offset + SLICE_BYTES])
+            if self._parts > MAX_PARTS and not self._closing:
+                self._is_deferred = True
+                self._server.defer(self)
 
     def _parse(self, data: bytes) -> None:
         """Feeds the parser and enforces the size limits."""
@@ -198,36 +213,32 @@
 
     # Back-pressure
 
-    def _hold(self, arrived_at: float, data: bytes) -> None:
-        self._held.append((arrived_at, data))
-        self._server.held_bytes += len(data)
-        self._server.memory.charge(len(data))
-        if self._closing:
-            return
-        if self._server.held_bytes > MAX_HELD_BYTES_IN_TOTAL:
+    def _hold(self, data: bytes) -> None:
+        """Holds back data that has just arrived."""
+        self._held.append(self.last_active_at, data)
+        if self._server.held_bytes > MAX_HELD_BYTES_IN_TOTAL and not self._closing:
             self.close_after_pending()
-        elif sum(len(held) for _, held in self._held) > MAX_HELD_BYTES:
+        else:
+            self._limit_reading()
+
+    def _limit_reading(self) -> None:
+        """Reads no more while much is held back."""
+        if self._held.size > MAX_HELD_BYTES and not (self._is_paused or self._closing):
             self._is_paused = True
             self._transport.pause_reading()
 
-    def _drop_held(self) -> None:
-        held_bytes = sum(len(data) for _, data in self._held)
-        self._held.clear()
-        self._server.held_bytes -= held_bytes
-        self._server.memory.charge(-held_bytes)
-
     def _unblock(self) -> None:
         """Parses the data held back once there is room for more requests."""
-        while self._held and not self._is_blocked and not self._closing:
-            arrived_at, data = self._held.popleft()
-            self._server.held_bytes -= len(data)
-            self._server.memory.charge(-len(data))
-            later, self._held = self._held, deque()
-            self._parse_slices(arrived_at, data)
-            self._held += later
+        while self._held and not (self._is_blocked or self._is_deferred or self._closing):
+            self._parse_slices(*self._held.pop())
         if not self._held:
             self._resume_reading()
 
+    def take_turn(self) -> None:
+        """Parses one more slice that takes long, or several others."""
+        self._is_deferred = False
+        self._unblock()
+
     def _resume_reading(self) -> None:
         if self._is_paused and self._transport is not None:
             self._is_paused = False
@@ -312,8 +323,7 @@
         """Returns how many bytes are freed by giving up the connection."""
         if not self.is_open:
             return 0
-        held_bytes = sum(len(data) for _, data in self._held)
-        return held_bytes + self._partial_bytes + self._undelivered_bytes
+        return self._held.size + self._partial_bytes + self._undelivered_bytes
 
     @property
     def _partial_bytes(self) -> int:
@@ -365,7 +375,7 @@
         """Closes the connection at once, and frees the responses that wait on it."""
         self._server.memory.count_refusal(reason)
         log.info("caller.disconnected", reason=reason, undelivered=self._undelivered_bytes)
-        self._drop_held()
+        self._held.clear()
         self._drop_partial()
         for request in self._pending:
             if request.response is not None:
@@ -413,6 +423,7 @@
         if self._closing:
             return
         self._request = IncomingRequest(self, self._arrived_at)
+        self._parts += REQUEST_PARTS
         self._header_lines = []
         self._body = b""
         self._expects_continue = False
@@ -513,6 +524,7 @@
         """Appends a part of the body."""
         if self._request is None:
             return
+        self._parts += 1
         self._parsed_bytes += len(part)
         if self._parsed_bytes > self._server.limits.body_bytes:
             if not self._closing:
@@ -557,7 +569,7 @@
     def _fail(self, status: int, detail: bytes, head: bytes = b"") -> None:
         """Responds with an error after the pending responses, then closes the connection."""
         self._closing = True
-        self._drop_held()
+        self._held.clear()
         self._drop_partial()
         request = self._request or IncomingRequest(self, self.last_active_at)
         self._request = None
@@ -618,7 +630,7 @@
         Closing while the caller still sends would reset the connection, and the caller could lose a
         response that it has not read.
         """
-        self._drop_held()
+        self._held.clear()
         self._drop_partial()
         self._lingers_until = self._loop.time() + LINGER_S
         self._resume_reading()
@@ -632,8 +644,8 @@
         """
         if self._closing or self._last_request is not None:
             return
-        if self._held:
-            self._drop_held()
+        if self._held and (self._is_blocked or self._request is None):
+            self._held.clear()
             self._request, self._in_head = None, False
         if self._request is not None:
             self._last_request = self._request
@@ -649,7 +661,8 @@
         if self._lingers_until is not None and now < self._lingers_until:
             return True
         if self._pending or (
-            self._request is not None and now < self.last_active_at + STALLED_REQUEST_S
+            self._request is not None
+            and (self._held or now < self.last_active_at + STALLED_REQUEST_S)
         ):
             return True
         return self.unsent_bytes > 0
--- a/src/marjoramvalve/h1/servers.py
+++ b/src/marjoramvalve/h1/servers.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server for callers."""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable, Iterator
 
 from marjoramvalve.h1.callers import STALLED_REQUEST_S, CallerConnection
@@ -11,6 +12,7 @@
 
 BACKLOG = 1024
 TIMEOUT_CHECK_INTERVAL_S = 0.5  # Timeouts of callers may fire this much late.
+TURNS = 8  # Connections that are slow to parse and get their turn in one iteration of the loop.
 FINISH_POLL_INTERVAL_S = 0.05  # How often a finishing server checks for pending requests.
 MAX_UNSENT_BYTES_IN_TOTAL = 64 << 20  # Above it, the callers with most of them are disconnected.
 
@@ -35,6 +37,7 @@
         self.connections: set[CallerConnection] = set()
         self.accepts_only_local = False
         self.held_bytes = 0  # Of all connections.
+        self._deferred: deque[CallerConnection] = deque()
         self.memory = memory or MemoryBudget()
         self.memory.sources.append(self._holdings)
         lowered = names.lowered()
@@ -76,6 +79,19 @@
             if size := conn.dispensable_bytes:
                 yield Holding(size, conn.moved_at, conn.give_up)
 
+    def defer(self, conn: CallerConnection) -> None:
+        """Lets a connection go on parsing in its turn, so that the others are served meanwhile."""
+        self._deferred.append(conn)
+        if len(self._deferred) == 1:
+            self.loop.call_soon(self._take_turns)
+
+    def _take_turns(self) -> None:
+        conns = [self._deferred.popleft() for _ in range(min(TURNS, len(self._deferred)))]
+        if self._deferred:
+            self.loop.call_soon(self._take_turns)
+        for conn in conns:
+            conn.take_turn()
+
     def make_room(self) -> bool:
         """Returns whether one more connection may be open.
 
