Show bodies for nodes that do not read

48 callers of one node send 8 MB each and leave at once; six of the seven nodes that it sends to are stopped by a signal.

--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -8,6 +8,7 @@
 import contextlib
 import json
 import re
+import signal
 import socket
 import unittest
 from pathlib import Path
@@ -121,23 +122,28 @@
         node=EGRESS,
         hang_s=HANG_S,
         slots=40,
+        frozen=(),
         **path,
     ):
         """Lets a crowd of clients run `send` at once and checks both nodes.
 
         `send` gets the reader, the writer and the number of a client, which is connected to `node`.
-        `path` changes the route. Without `memory_mb`, the settings name no memory.
+        `path` changes the route. Without `memory_mb`, the settings name no memory. The `frozen`
+        nodes, beside upstreams of their own, are stopped by a signal before that.
         """
 
         async def run():
             fleet = Fleet()
             backend = self.backend = LargeBackend(INGRESS, "b1", slots)
+            backends = [backend, *(LargeBackend(number, f"b{number}", slots) for number in frozen)]
             writers = []
             try:
                 fleet.limits = {"maxFds": MAX_FDS}
                 if memory_mb:
                     fleet.limits["memoryMb"] = memory_mb
-                await self._start(fleet, backend, body_bytes, path)
+                await self._start(fleet, backends, body_bytes, path)
+                for number in frozen:
+                    fleet.processes[number].send_signal(signal.SIGSTOP)
                 processes = {
                     number: psutil.Process(fleet.processes[number].pid)
                     for number in (INGRESS, EGRESS)
@@ -172,7 +178,8 @@
             finally:
                 for writer in writers:
                     writer.transport.abort()
-                backend.close()
+                for item in backends:
+                    item.close()
                 fleet.close()
 
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
@@ -184,12 +191,13 @@
         self.assertLess(max(more_fds.values()), fds or MAX_GROWTH_FDS, seen)
         self.assertEqual(status, 200, seen)
 
-    async def _start(self, fleet, backend, body_bytes, path_changes):
+    async def _start(self, fleet, backends, body_bytes, path_changes):
         for number in (1, 2, 3):
             fleet.launch("core", number)
-        fleet.launch("node", INGRESS, "s1")
         fleet.launch("node", EGRESS, "s2")
-        await backend.start()
+        for backend in backends:
+            fleet.launch("node", backend.number, "s1")
+            await backend.start()
         path = {"split": [{"service": "s1", "weight": 100}], "timeoutMs": 10_000, "goalMs": 12_000}
         path.update(path_changes)
         limits = {
@@ -204,9 +212,10 @@
         raw = json.dumps(fields).encode()
         await wait_until(lambda: put_config(raw, "0"), 200)
         await wait_until(lambda: ready_status(EGRESS), 200)
-        await wait_until(lambda: ready_status(INGRESS), 200)
-        await wait_until(lambda: backend.send_heartbeat(capacity=backend.slots), 200)
-        for number in (INGRESS, EGRESS):
+        for item in backends:
+            await wait_until(lambda item=item: ready_status(item.number), 200)
+            await wait_until(lambda item=item: item.send_heartbeat(capacity=item.slots), 200)
+        for number in (*(item.number for item in backends), EGRESS):
             await wait_until(lambda number=number: self._call_status(number, "before"), 200)
 
     async def _call_status(self, number, attempt):
@@ -426,6 +435,17 @@
             goalMs=20_000,
         )
 
+    def test_bodies_for_nodes_that_do_not_read(self):
+        async def send(reader, writer, number):
+            await asyncio.sleep(0.02 * number)
+            head = self.head(number, f"Content-Length: {MAX_BODY_BYTES}\r\n", "/b/x")
+            writer.write(head + bytes(MAX_BODY_BYTES))
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(reader.read(1), 0.15)
+            writer.transport.abort()
+
+        self.play(send, crowd=48, frozen=(13, 14, 15, 16, 17, 18))
+
     def test_settings_that_name_no_memory(self):
         async def send(reader, writer, number):
             writer.write(self.head(number, f"Content-Length: {40 * MIB}\r\n"))
