Leave descriptors to the main server of a process

What callers saw: with connections to two ports of a node, half heads on each, the node has no descriptor left for links and upstream connections.

Cause: each server of a process may have half of the descriptors open, and a node has four.

Change: the servers beside the main one (readiness, metrics, heartbeats), which a few known peers need, have a sixteenth of that each, and 16 connections at least.

--- a/src/marjoramvalve/h1/servers.py
+++ b/src/marjoramvalve/h1/servers.py
@@ -20,7 +20,8 @@
 class CallerServer:
     """Listens for callers and passes their requests to `handler`.
 
-    `on_request_error` gets the status and the detail of each request that is rejected here.
+    `on_request_error` gets the status and the detail of each request that is rejected here. An
+    auxiliary server is one beside the main server of the process, for a few known peers.
     """
 
     def __init__(
@@ -29,6 +30,7 @@
         handler: Callable[[IncomingRequest], None],
         on_request_error: Callable[[int, bytes], None],
         memory: MemoryBudget | None = None,
+        is_auxiliary: bool = False,
     ) -> None:
         self.loop = asyncio.get_running_loop()
         self.handler = handler
@@ -39,6 +41,9 @@
         self.held_bytes = 0  # Of all connections.
         self._deferred: deque[CallerConnection] = deque()
         self.memory = memory or MemoryBudget()
+        self._max_connections = (
+            self.memory.max_auxiliary_connections if is_auxiliary else self.memory.max_connections
+        )
         self.memory.sources.append(self._holdings)
         lowered = names.lowered()
         self.fields_by_header = {lowered[field]: field for field in ("attempt", "deadline", "key")}
@@ -99,8 +104,7 @@
         waits for its caller to close it, or else the one whose request has stalled longest is
         refused, or else the one whose responses have not been read for longest is closed.
         """
-        limit = self.memory.max_connections
-        if limit is None or len(self.connections) < limit:
+        if self._max_connections is None or len(self.connections) < self._max_connections:
             return True
         stalled_before = self.loop.time() - STALLED_REQUEST_S
         conns = [conn for conn in self.connections if conn.is_open]
--- a/src/marjoramvalve/links/memory_budgets.py
+++ b/src/marjoramvalve/links/memory_budgets.py
@@ -9,6 +9,8 @@
 
 MEMORY_SHARE = 0.4  # Of the machine's memory; the rest is for the process itself and its copies.
 DESCRIPTOR_SHARE = 0.5  # Of the descriptors; links, upstream connections and files need the rest.
+AUXILIARY_SHARE = 1 / 16  # Of these, for a server that only a few known peers need.
+MIN_AUXILIARY_CONNECTIONS = 16
 MAX_SMALL_BYTES = 16 << 10  # Holdings up to this size don't give way while they move.
 UNCOUNTED_BYTES = 2 << 10  # Messages up to this size are bounded by their number.
 STALLED_S = 1.0
@@ -85,8 +87,9 @@
 class MemoryBudget:
     """Counts the bytes held for all peers of a process. Without a limit, nothing is refused.
 
-    `max_connections` is how many connections each server of the process may have open. `sources`
-    return the holdings that can be given up. `refused` counts refusals by reason.
+    `max_connections` is how many connections the main server of the process may have open, and
+    `max_auxiliary_connections` how many each of the others. `sources` return the holdings that can
+    be given up. `refused` counts refusals by reason.
     """
 
     def __init__(
@@ -98,6 +101,9 @@
         self._clock = clock
         self.limit_bytes = int(MEMORY_SHARE * memory_mb * (1 << 20)) or None
         self.max_connections = int(DESCRIPTOR_SHARE * max_descriptors) or None
+        self.max_auxiliary_connections = self.max_connections and max(
+            MIN_AUXILIARY_CONNECTIONS, int(AUXILIARY_SHARE * self.max_connections)
+        )
         self.used_bytes = 0
         self.sources: list[Callable[[], Iterable[Holding]]] = []
         self.refused: dict[str, int] = {}
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -18,6 +18,7 @@
 
 from tests.platform_fleet import (
     CALLERS_PORT,
+    METRICS_PORT,
     UPSTREAM_PORT,
     Backend,
     Fleet,
@@ -241,11 +242,11 @@
                 writers.append(writer)
                 await send(reader, writer, number)
 
-    async def _connect(self, node):
+    async def _connect(self, node, port=CALLERS_PORT):
         sock = socket.socket()
         sock.setblocking(False)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 << 10)
-        await asyncio.get_running_loop().sock_connect(sock, (address(node), CALLERS_PORT))
+        await asyncio.get_running_loop().sock_connect(sock, (address(node), port))
         return await asyncio.open_connection(sock=sock, limit=PIECE_BYTES)
 
     async def _read_status(self, reader):
@@ -368,6 +369,19 @@
 
         self.play(send, crowd=MAX_FDS, fds=MAX_FDS // 2 + MAX_GROWTH_FDS)
 
+    def test_connections_to_two_ports(self):
+        async def send(reader, writer, number):
+            _, other = await self._connect(EGRESS, METRICS_PORT)
+            try:
+                for item in (writer, other):
+                    item.write(self.head(number, "")[:-4])
+                    await item.drain()
+                await asyncio.sleep(2)  # They stay open that long, whatever becomes of them.
+            finally:
+                other.transport.abort()
+
+        self.play(send, crowd=MAX_FDS // 2, fds=MAX_FDS // 2 + MAX_GROWTH_FDS)
+
     def test_responses_that_nobody_reads(self):
         async def send(reader, writer, number):
             writer.transport.pause_reading()
