Close link connections that send no frame

What callers saw: 400 silent connections to the port for links take every descriptor of a node, and stay.

Cause: nothing bounds the streams that are accepted, nor the time until their first frame.

Change: the other end of a link sends a frame at once. A stream that has sent none after 5 s is closed, and above half of the connections of the main server (512 at most) the oldest such stream goes for a new one.

Evidence, tests/test_memory_limits.py: 399 descriptors of 400 before, bound 260; it holds now.

--- a/src/marjoramvalve/links/frames.py
+++ b/src/marjoramvalve/links/frames.py
@@ -31,6 +31,10 @@
 MAX_DROPPED_PREFIX_BYTES = 64 << 10  # What the owner gets to see of a frame that has no room.
 CONNECT_S = 1.0  # Allows for several round trips between failure domains and a lost packet.
 BACKLOG = 512  # All instances of a fleet may reconnect at the same time.
+# Streams that were accepted and have not sent a frame yet. The other end sends one at once.
+MAX_STRANGERS = BACKLOG
+STRANGER_SHARE = 0.5  # Of the connections that the main server of the process may have open.
+FIRST_FRAME_S = 5.0
 
 
 class StreamOwner(Protocol):
@@ -89,6 +93,7 @@
         self._large_kind = self._large_bytes = self._large_left = 0
         self._is_dropping = False
         self._charged_bytes = 0  # Of frames that are arriving and not large.
+        self.is_stranger = True  # Is open, and has not received a frame yet.
         self.last_received_at = loop.time()
         self.owner_data: object = None  # For use by the owner; not read here.
 
@@ -107,6 +112,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Drops unsent frames and notifies the owner."""
         self._transport = None
+        self.is_stranger = False
         self._outgoing.clear()
         self._chunks.clear()
         self._large = None
@@ -164,6 +170,7 @@
         self._buffered_bytes = size - offset
 
     def _pass_on(self, kind: int, payload: bytes | bytearray) -> None:
+        self.is_stranger = False
         try:
             self._owner.stream_frame(self, kind, payload)
         except (struct.error, msgspec.DecodeError, RecursionError) as exc:
@@ -273,10 +280,11 @@
 
 
 class Listener:
-    """Accepts streams at an address."""
+    """Accepts streams at an address, and closes those that send no frame."""
 
     def __init__(self, owner: StreamOwner) -> None:
         self._owner = owner
+        self._strangers: list[FrameStream] = []
         self._server: asyncio.Server | None = None
 
     async def start(self, address: str) -> None:
@@ -284,9 +292,30 @@
         loop = asyncio.get_running_loop()
         host, port = split_address(address)
         self._server = await loop.create_server(
-            lambda: FrameStream(loop, self._owner), host, port, backlog=BACKLOG
+            lambda: self._accept(loop), host, port, backlog=BACKLOG
         )
 
+    @property
+    def _max_strangers(self) -> int:
+        memory: MemoryBudget | None = getattr(self._owner, "memory", None)
+        if memory is None or memory.max_connections is None:
+            return MAX_STRANGERS
+        return min(MAX_STRANGERS, int(STRANGER_SHARE * memory.max_connections))
+
+    def _accept(self, loop: asyncio.AbstractEventLoop) -> FrameStream:
+        self._strangers = [stream for stream in self._strangers if stream.is_stranger]
+        if len(self._strangers) >= self._max_strangers:
+            self._close_stranger(self._strangers.pop(0))
+        stream = FrameStream(loop, self._owner)
+        self._strangers.append(stream)
+        loop.call_later(FIRST_FRAME_S, self._close_stranger, stream)
+        return stream
+
+    def _close_stranger(self, stream: FrameStream) -> None:
+        if stream.is_stranger:
+            log.info("stream.closed", reason="no frame")
+            stream.abort()
+
     async def close(self) -> None:
         """Stops accepting streams; the open ones stay."""
         if self._server is not None:
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -19,6 +19,7 @@
 from tests.platform_fleet import (
     CALLERS_PORT,
     METRICS_PORT,
+    NODE_LINK_PORT,
     UPSTREAM_PORT,
     Backend,
     Fleet,
@@ -382,6 +383,15 @@
 
         self.play(send, crowd=MAX_FDS // 2, fds=MAX_FDS // 2 + MAX_GROWTH_FDS)
 
+    def test_silent_connections_to_the_port_for_links(self):
+        async def send(reader, writer, number):
+            _, other = await self._connect(EGRESS, NODE_LINK_PORT)
+            writer.transport.abort()
+            await asyncio.sleep(2)  # They stay open that long, whatever becomes of them.
+            other.transport.abort()
+
+        self.play(send, crowd=MAX_FDS, fds=MAX_FDS // 2 + MAX_GROWTH_FDS)
+
     def test_responses_that_nobody_reads(self):
         async def send(reader, writer, number):
             writer.transport.pause_reading()
