Let connections that close with unsent bytes give way

Read again: a connection that is closed after its response still holds what its caller has not read, and was left out of those that give way; a large response that is read for longer than the idle time-out closed its connection behind it; a connection that was given up while it parses went on parsing, and one that was closed was paused or read again, which raises.

Connections are told apart by whether they were aborted, the idle time-out counts from the last byte taken, and what follows a disconnect is not parsed.

tests.test_slow_callers fails without the second part.

--- a/src/marjoramvalve/h1/callers.py
+++ b/src/marjoramvalve/h1/callers.py
@@ -80,6 +80,7 @@
         "_sent_at",
         "_server",
         "_transport",
+        "is_aborted",
         "is_late",
         "is_local",
         "last_active_at",
@@ -114,6 +115,7 @@
         self._last_request: IncomingRequest | None = None
         self._closing = False  # No more requests are read.
         self._lingers_until: float | None = None
+        self.is_aborted = False
         self.is_local = False
         self.is_late = False  # Opened after the server had stopped accepting others.
         self.serves_upstream = False  # Carries the calls of the upstream beside the node.
@@ -135,9 +137,9 @@
         if not has_room:
             self._server.memory.count_refusal("no_connection")
             log.info("caller.refused", connections=len(self._server.connections))
-            transport.abort()
+            self.abort()
         elif self.is_late and not self.is_local:
-            transport.abort()
+            self.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Notifies the pending requests that their caller has disconnected."""
@@ -223,7 +225,8 @@
 
     def _limit_reading(self) -> None:
         """Reads no more while much is held back."""
-        if self._held.size > MAX_HELD_BYTES and not (self._is_paused or self._closing):
+        is_read = not (self._is_paused or self._closing or self._transport.is_closing())
+        if is_read and self._held.size > MAX_HELD_BYTES:
             self._is_paused = True
             self._transport.pause_reading()
 
@@ -242,7 +245,8 @@
     def _resume_reading(self) -> None:
         if self._is_paused and self._transport is not None:
             self._is_paused = False
-            self._transport.resume_reading()
+            if not self._transport.is_closing():
+                self._transport.resume_reading()
 
     def pause_writing(self) -> None:
         """Parses no more requests while the caller does not read its responses."""
@@ -321,7 +325,7 @@
     @property
     def dispensable_bytes(self) -> int:
         """Returns how many bytes are freed by giving up the connection."""
-        if not self.is_open:
+        if self.is_aborted:
             return 0
         return self._held.size + self._partial_bytes + self._undelivered_bytes
 
@@ -351,11 +355,6 @@
             or self.unsent_bytes
         )
 
-    @property
-    def is_open(self) -> bool:
-        """Returns whether the connection has not been closed yet."""
-        return self._transport is not None and not self._transport.is_closing()
-
     @property
     def is_arriving(self) -> bool:
         """Returns whether a request has begun to arrive and none is in progress."""
@@ -375,6 +374,7 @@
         """Closes the connection at once, and frees the responses that wait on it."""
         self._server.memory.count_refusal(reason)
         log.info("caller.disconnected", reason=reason, undelivered=self._undelivered_bytes)
+        self._closing = True
         self._held.clear()
         self._drop_partial()
         for request in self._pending:
@@ -679,6 +679,7 @@
 
     def abort(self) -> None:
         """Closes the connection at once and drops the data that is not sent yet."""
+        self.is_aborted = True
         if self._transport is not None:
             self._transport.abort()
 
@@ -691,15 +692,15 @@
             self._sent_at = now
         self._last_unsent_bytes = unsent_bytes
         if unsent_bytes and now > min(self._send_until, self.moved_at + SEND_TIMEOUT_S):
-            self._transport.abort()
+            self.abort()
         elif self._lingers_until is not None:
             if not unsent_bytes and now > self._lingers_until:
-                self._transport.abort()
+                self.abort()
         elif self._held:
             return  # The rest of the request in progress may have arrived.
         elif self._in_head and now > self.request_started_at + limits.header_ms / 1000:
             self._fail(408, b"request head did not come in time")
         elif self._request is not None and now > self.last_active_at + limits.idle_ms / 1000:
             self._fail(408, b"request body did not come in time")
-        elif not self._pending and now > self.last_active_at + limits.idle_ms / 1000:
+        elif not (self._pending or unsent_bytes) and now > self.moved_at + limits.idle_ms / 1000:
             self.close_after_pending()
--- a/src/marjoramvalve/h1/servers.py
+++ b/src/marjoramvalve/h1/servers.py
@@ -40,6 +40,7 @@
         self.accepts_only_local = False
         self.held_bytes = 0  # Of all connections.
         self._deferred: deque[CallerConnection] = deque()
+        self._are_turns_scheduled = False
         self.memory = memory or MemoryBudget()
         self._max_connections = (
             self.memory.max_auxiliary_connections if is_auxiliary else self.memory.max_connections
@@ -87,15 +88,17 @@
     def defer(self, conn: CallerConnection) -> None:
         """Lets a connection go on parsing in its turn, so that the others are served meanwhile."""
         self._deferred.append(conn)
-        if len(self._deferred) == 1:
+        if not self._are_turns_scheduled:
+            self._are_turns_scheduled = True
             self.loop.call_soon(self._take_turns)
 
     def _take_turns(self) -> None:
-        conns = [self._deferred.popleft() for _ in range(min(TURNS, len(self._deferred)))]
-        if self._deferred:
+        turns = min(TURNS, len(self._deferred))
+        self._are_turns_scheduled = len(self._deferred) > turns
+        if self._are_turns_scheduled:
             self.loop.call_soon(self._take_turns)
-        for conn in conns:
-            conn.take_turn()
+        for _ in range(turns):
+            self._deferred.popleft().take_turn()
 
     def make_room(self) -> bool:
         """Returns whether one more connection may be open.
@@ -107,7 +110,7 @@
         if self._max_connections is None or len(self.connections) < self._max_connections:
             return True
         stalled_before = self.loop.time() - STALLED_REQUEST_S
-        conns = [conn for conn in self.connections if conn.is_open]
+        conns = [conn for conn in self.connections if not conn.is_aborted]
         stalled = [conn for conn in conns if conn.moved_at < stalled_before]
         for candidates, close in (
             ([conn for conn in conns if conn.is_idle], CallerConnection.give_up),
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -61,6 +61,17 @@
             conn.check_timeouts(self.now, self.server.limits)
         self.assertFalse(transport.closed)
 
+    def test_response_that_is_being_read_is_not_idle(self):
+        conn, transport = self.respond(32 * MIB)
+        self.now += self.server.limits.idle_ms / 1000 - SEND_TIMEOUT_S / 2
+        transport.unsent -= MIB
+        conn.check_timeouts(self.now, self.server.limits)
+        self.assertFalse(transport.closed)
+        self.now += SEND_TIMEOUT_S - 1
+        transport.unsent -= MIB
+        conn.check_timeouts(self.now, self.server.limits)
+        self.assertFalse(transport.closed)
+
     def test_caller_that_takes_nothing_is_disconnected(self):
         conn, transport = self.respond(32 * MIB)
         self.now += SEND_TIMEOUT_S - 0.1
