--- a/tests/soak.py
+++ b/tests/soak.py
@@ -3,7 +3,8 @@
 `python -m tests.soak --seeds=1-50` runs a range of seeds, `--fresh=10` runs ten random new ones.
 `--seconds=20` sets how long faults are injected, `--report=FOLDER` writes a plot of each run.
 With `--announce`, backends also announce rate limits and that they are leaving. With `--evacuate`,
-failure domains are evacuated and brought back.
+failure domains are evacuated and brought back. With `--crowd`, clients that don't behave make nodes
+hold as much as they can.
 """
 
 import asyncio
@@ -32,6 +33,7 @@
 )
 from tests.proxies import INBOUND, OUTBOUND
 from tests.soak_announcements import Announcer, AnnouncingBackend
+from tests.soak_crowds import LIMITS, MAX_FDS, MEMORY_MB, Crowd
 from tests.soak_evacuations import Evacuator
 from tests.soak_reports import describe, plot
 
@@ -77,6 +79,7 @@
     seconds: float
     announcing: bool = False
     evacuating: bool = False
+    crowded: bool = False
     fleet: Fleet = field(default_factory=lambda: Fleet(proxied=True))
     requests: list[RequestRecord] = field(default_factory=list)
     faults: list[tuple[float, str]] = field(default_factory=list)
@@ -97,10 +100,18 @@
         self.announcer = Announcer(announcer_rng, list(self.backends.values()))
         evacuator_rng = random.Random(f"{self.seed}-evacuator")
         self.evacuator = Evacuator(evacuator_rng, list(self.backends.values()))
+        self.crowd = Crowd(random.Random(f"{self.seed}-crowd"), self.fleet, NODES)
+        if self.crowded:
+            self.fleet.limits = {"memoryMb": MEMORY_MB, "maxFds": MAX_FDS}
 
     def record_fault(self, text: str) -> None:
         self.faults.append((time.monotonic() - self.started_at, text))
 
+    def make_config(self, version: int, keys: list[str]) -> bytes:
+        """Returns a configuration with one customer."""
+        changes = {"limits": LIMITS} if self.crowded else {}
+        return config(f"{version:08x}", tenants=[{"name": "t1", "apiKeys": keys}], **changes)
+
     # Load
 
     async def run_caller(self, number: int, caller: int) -> None:
@@ -327,7 +338,7 @@
         self.busy.add("operator")
         _, version, _ = self.acknowledged
         keys = list(API_KEYS) if self.rng.random() < 0.5 else [self.rng.choice(API_KEYS)]
-        raw = config(f"{version + 2:08x}", tenants=[{"name": "t1", "apiKeys": keys}])
+        raw = self.make_config(version + 2, keys)
         for _ in range(8):
             status = await put_config(raw, f"{version:08x}")
             if status is not None:
@@ -385,7 +396,7 @@
             self.fleet.launch("core", number)
         for number in NODES:
             self.fleet.launch("side", number, SERVICES[number])
-        initial = config("00000001", tenants=[{"name": "t1", "apiKeys": list(API_KEYS)}])
+        initial = self.make_config(1, list(API_KEYS))
         await wait_until(lambda: put_config(initial, "00000000"), 200)
         self.acknowledged = (time.monotonic(), 1, initial)
         await self.wait_until_serving()
@@ -397,10 +408,12 @@
         monitor = asyncio.create_task(self.monitor())
         announcing_s = self.seconds if self.announcing else 0.0
         evacuating_s = self.seconds if self.evacuating else 0.0
+        crowded_s = self.seconds if self.crowded else 0.0
         await asyncio.gather(
             self.inject_faults(),
             self.announcer.run(announcing_s),
             self.evacuator.run(evacuating_s),
+            self.crowd.run(crowded_s),
         )
         if self.evacuating:
             await self.evacuator.finish()
@@ -448,6 +461,7 @@
                 self.violations.append(f"{request.attempt_id} got response body {request.body!r}")
         self.check_fatal_requests()
         self.check_announcements()
+        self.violations += self.crowd.find_violations()
         current = await read_config()
         _, version, raw = self.acknowledged
         if current is None or int(current["version"], 16) < version:
@@ -471,10 +485,14 @@
 
 
 async def run_seed(
-    seed: int, seconds: float, announcing: bool = False, evacuating: bool = False
+    seed: int,
+    seconds: float,
+    announcing: bool = False,
+    evacuating: bool = False,
+    crowded: bool = False,
 ) -> Soak:
     """Runs one seed; writes the processes' logs to the working directory if a check failed."""
-    soak = Soak(seed, seconds, announcing, evacuating)
+    soak = Soak(seed, seconds, announcing, evacuating, crowded)
     try:
         await soak.run()
     finally:
@@ -503,11 +521,12 @@
     report: str = "",
     announce: bool = False,
     evacuate: bool = False,
+    crowd: bool = False,
 ) -> None:
     """Runs seeds; the exit status is the number of failed ones, at most 99."""
     failed = 0
     for seed in list_seeds(str(seeds), fresh):
-        run = asyncio.run(run_seed(seed, seconds, announce, evacuate))
+        run = asyncio.run(run_seed(seed, seconds, announce, evacuate, crowd))
         print(describe(run), flush=True)
         if report:
             plot(run, report)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,6 +8,7 @@
 from tests import soak
 from tests.platform_fleet import config
 from tests.soak_announcements import Announcement, Announcer, AnnouncingBackend
+from tests.soak_crowds import MEMORY_MB, Crowd
 from tests.soak_evacuations import Evacuation, Evacuator
 
 CI_SEED, CI_SECONDS = 7, 8.0
@@ -136,6 +137,15 @@
         self.assertEqual(len(self.find_violations([30.0], [(2.0, "kill 11")])), 1)
 
 
+class CrowdCheckTests(unittest.TestCase):
+    """The check of crowds finds nodes that outgrow their machine."""
+
+    def test_node_above_its_memory_is_found(self):
+        crowd = Crowd(random.Random(1), None, (11, 12))
+        crowd.peaks = {11: MEMORY_MB << 20, 12: (MEMORY_MB << 20) + 1}
+        self.assertEqual(len(crowd.find_violations()), 1)
+
+
 class ShortRunTests(unittest.TestCase):
     """A short run of one seed and of every seed that once failed."""
 
@@ -148,6 +158,11 @@
         self.assertEqual(run.violations, [], soak.describe(run))
         self.assertGreater(len(run.evacuator.periods), 0)
 
+    def test_seed_with_a_crowd(self):
+        run = asyncio.run(soak.run_seed(CI_SEED, CI_SECONDS, crowded=True))
+        self.assertEqual(run.violations, [], soak.describe(run))
+        self.assertGreater(run.crowd.sent, 0)
+
     def play(self, seed):
         run = asyncio.run(soak.run_seed(seed, CI_SECONDS))
         self.assertEqual(run.violations, [], soak.describe(run))
