Ask who can give way less often while too few can

While requests that run fill the budget, each slice of a request and each response asked all connections for what they could give up, 10 ms with 2,000 of them, on a busy machine. Now nobody is asked again for 50 ms once too few could give way; has_room still refuses. To make room for a new connection, candidates of one kind are looked for at a time.

tests.test_memory_charges counts how often they are asked: once for 1,000 charges of one moment.

--- a/src/marjoramvalve/h1/callers.py
+++ b/src/marjoramvalve/h1/callers.py
@@ -333,16 +333,19 @@
     def _partial_bytes(self) -> int:
         """Returns how many bytes are charged for the request that is arriving."""
         size = self._charged_partial_bytes
-        return size + self._body.charged_bytes if isinstance(self._body, ChargedBuffer) else size
+        if isinstance(self._body, ChargedBuffer):
+            size += self._body.charged_bytes
+        return size
 
     @property
     def _undelivered_bytes(self) -> int:
         """Returns how many bytes of responses wait to be written or read."""
-        waiting = [item for item in self._pending if item.response is not None]
-        return self.unsent_bytes + sum(
-            item.charged_bytes + len(item.response[1]) - plain_bytes(item.response[1])
-            for item in waiting
-        )
+        size = self.unsent_bytes
+        for request in self._pending:
+            if request.response is not None:
+                body = request.response[1]
+                size += request.charged_bytes + len(body) - plain_bytes(body)
+        return size
 
     @property
     def is_idle(self) -> bool:
--- a/src/marjoramvalve/h1/servers.py
+++ b/src/marjoramvalve/h1/servers.py
@@ -111,15 +111,22 @@
             return True
         stalled_before = self.loop.time() - STALLED_REQUEST_S
         conns = [conn for conn in self.connections if not conn.is_aborted]
-        stalled = [conn for conn in conns if conn.moved_at < stalled_before]
-        for candidates, close in (
-            ([conn for conn in conns if conn.is_idle], CallerConnection.give_up),
-            ([conn for conn in conns if conn.is_lingering], CallerConnection.disconnect),
-            ([conn for conn in stalled if conn.is_arriving], CallerConnection.give_up),
-            ([conn for conn in stalled if conn.unsent_bytes], CallerConnection.disconnect),
+        for may_close, close in (
+            (lambda conn: conn.is_idle, CallerConnection.give_up),
+            (lambda conn: conn.is_lingering, CallerConnection.disconnect),
+            (
+                lambda conn: conn.is_arriving and conn.moved_at < stalled_before,
+                CallerConnection.give_up,
+            ),
+            (
+                lambda conn: conn.unsent_bytes and conn.moved_at < stalled_before,
+                CallerConnection.disconnect,
+            ),
         ):
-            if candidates:
-                close(min(candidates, key=lambda conn: conn.moved_at), "connections")
+            candidates = filter(may_close, conns)
+            conn = min(candidates, key=lambda conn: conn.moved_at, default=None)
+            if conn is not None:
+                close(conn, "connections")
                 return True
         return False
 
--- a/src/marjoramvalve/links/memory_budgets.py
+++ b/src/marjoramvalve/links/memory_budgets.py
@@ -4,6 +4,7 @@
 responses: each may be within the limits of one request, but their sum ends the process.
 """
 
+import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -14,6 +15,8 @@
 MAX_SMALL_BYTES = 16 << 10  # Holdings up to this size don't give way while they move.
 UNCOUNTED_BYTES = 2 << 10  # Messages up to this size are bounded by their number.
 STALLED_S = 1.0
+# Nobody is asked again for this long once too few could give way: asking all takes milliseconds.
+RELIEF_PAUSE_S = 0.05
 FREED_S = 0.1  # What was given up is in memory for at most this long, in its write buffer.
 RELIEF_SHARE = 1 / 8  # Freed below the limit, so that relief is not needed for every piece.
 
@@ -111,6 +114,7 @@
         self._is_relieving = False
         self._awaited_bytes = 0  # Given up, but not freed yet.
         self._awaited_until = 0.0
+        self._paused_until = -math.inf
 
     @property
     def is_ample(self) -> bool:
@@ -168,13 +172,16 @@
         self.on_refusal(reason)
 
     def _relieve(self, excess: int) -> None:
-        if self._is_relieving:
+        if self._is_relieving or self._clock() < self._paused_until:
             return
         self._is_relieving = True
         try:
             holdings = [item for source in self.sources for item in source()]
             excess += int(RELIEF_SHARE * self.limit_bytes)
-            for item in choose_holdings(holdings, excess, self._clock()):
+            chosen = choose_holdings(holdings, excess, self._clock())
+            if sum(item.size for item in chosen) < excess:
+                self._paused_until = self._clock() + RELIEF_PAUSE_S
+            for item in chosen:
                 used_bytes = self.used_bytes
                 item.give_up("memory")
                 # Write buffers are freed once their connections have been closed.
--- a/tests/test_memory_charges.py
+++ b/tests/test_memory_charges.py
@@ -4,6 +4,7 @@
 import unittest
 
 from marjoramvalve.links import ChargedBuffer, Holding, MemoryBudget, allocated_bytes
+from marjoramvalve.links.memory_budgets import RELIEF_PAUSE_S
 from marjoramvalve.mesh.sessions import SWEEP_INTERVAL_S
 from tests.meshes import FakeUpstream, make_document, ok_response
 from tests.test_mesh import MeshTestCase
@@ -45,19 +46,33 @@
 class ReliefTests(unittest.TestCase):
     """Holdings whose bytes are freed a little after they were given up."""
 
+    def test_nobody_is_asked_for_each_charge_while_too_few_can_give_way(self):
+        now = [10.0]
+        asked = []
+        budget = MemoryBudget(lambda: now[0], memory_mb=100)
+        budget.sources.append(lambda: asked.append(now[0]) or ())
+        budget.charge(41 * MIB)
+        for _ in range(1000):
+            budget.charge(1)
+        self.assertFalse(budget.has_room(1))
+        self.assertEqual(asked, [10.0])
+        now[0] += 2 * RELIEF_PAUSE_S
+        budget.charge(1)
+        self.assertEqual(len(asked), 2)
+
     def test_nobody_else_gives_way_for_bytes_that_are_about_to_be_freed(self):
         budget = MemoryBudget(lambda: 10.0, memory_mb=100)
-        buffers = {name: budget.hold(bytes(18 * MIB)) for name in "ab"}
+        buffers = {name: budget.hold(bytes(17 * MIB)) for name in "ab"}
         given_up = []
         budget.sources.append(
             lambda: [
-                Holding(18 * MIB, number, lambda reason, name=name: given_up.append(name))
+                Holding(17 * MIB, number, lambda reason, name=name: given_up.append(name))
                 for number, name in enumerate("ab")
                 if name not in given_up
             ]
         )
-        budget.charge(MIB)
-        budget.charge(MIB)
+        for _ in range(3):
+            budget.charge(MIB)
         self.assertEqual(given_up, ["a"])
         del buffers["a"]
         budget.charge(20 * MIB)
