Allow one silent stream where descriptors are few

A process with 2 or 3 descriptors allowed no stream without a frame, and failed on the first one: there was none to close for it.

--- a/src/marjoramvalve/links/frames.py
+++ b/src/marjoramvalve/links/frames.py
@@ -300,7 +300,7 @@
         memory: MemoryBudget | None = getattr(self._owner, "memory", None)
         if memory is None or memory.max_connections is None:
             return MAX_STRANGERS
-        return min(MAX_STRANGERS, int(STRANGER_SHARE * memory.max_connections))
+        return max(1, min(MAX_STRANGERS, int(STRANGER_SHARE * memory.max_connections)))
 
     def _accept(self, loop: asyncio.AbstractEventLoop) -> FrameStream:
         self._strangers = [stream for stream in self._strangers if stream.is_stranger]
