--- a/src/marjoramvalve/mesh/ingress.py
+++ b/src/marjoramvalve/mesh/ingress.py
@@ -230,9 +230,7 @@
             return
         if not self._enqueue(job, now):
             return
-        job.set_timer(
-            self._deadlines.add(self._useful_until(job), lambda: self._expire_waiting(job))
-        )
+        job.set_timer(self._deadlines, self._useful_until(job), lambda: self._expire_waiting(job))
         if self.announcements.cold_starts.per_s is not None:
             self._refuse_displaced_by(job, now)
         if pacing_delay_s > 0:
@@ -313,9 +311,7 @@
             len(self._sent_jobs), self.state.slots
         )
         self.running[job.attempt] = job
-        job.set_timer(
-            self._deadlines.add(job.deadline + DEADLINE_GRACE_S, lambda: self._expire(job))
-        )
+        job.set_timer(self._deadlines, job.deadline + DEADLINE_GRACE_S, lambda: self._expire(job))
         self.rate_limiter.take(now)
         self.sent_requests += 1
         self.rate_log.log_usage(
@@ -506,7 +502,7 @@
             return
         cut_at = job.deadline + ABANDONED_S
         if now < cut_at and self.quarantine.keeps_running(job, now):
-            job.set_timer(self._deadlines.add(cut_at, lambda: self._expire(job)))
+            job.set_timer(self._deadlines, cut_at, lambda: self._expire(job))
             return
         log.info("upstream.overdue", request=job.attempt, instance=self.state.instance)
         self._abandon(job)
--- a/src/marjoramvalve/mesh/jobs.py
+++ b/src/marjoramvalve/mesh/jobs.py
@@ -1,11 +1,12 @@
 """Calls at an ingress, and the state and statistics of its upstream."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from typing import Protocol
 
 from marjoramvalve.h1 import Exchange, UpstreamResponse
 from marjoramvalve.mesh.frames import ErrorCode
-from marjoramvalve.mesh.timers import Deadline
+from marjoramvalve.mesh.timers import Deadline, DeadlineScheduler
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,11 +123,13 @@
         self.timer: Deadline | None = None
         self.done = False
 
-    def set_timer(self, timer: Deadline) -> None:
-        """Replaces the timer of the job."""
+    def set_timer(
+        self, deadlines: DeadlineScheduler, when: float, callback: Callable[[], None]
+    ) -> None:
+        """Runs a callback at a time instead of the one that was set before."""
         if self.timer is not None:
             self.timer.cancel()
-        self.timer = timer
+        self.timer = deadlines.add(when, callback)
 
     def end(self) -> None:
         """Marks the job as done, and frees its request.
