--- a/src/marjoramvalve/h1/callers.py
+++ b/src/marjoramvalve/h1/callers.py
@@ -283,6 +283,9 @@
         self._server.memory.charge(size)
         if isinstance(body, ChargedBuffer) and body is self._body:
             body.charge()
+            is_large = body is self._body and len(body) > MAX_SMALL_BYTES
+            if is_large and self._server.memory.is_exhausted:
+                self.give_up("memory")
 
     def _uncharge_partial(self) -> None:
         if self._charged_partial_bytes:
@@ -321,6 +324,8 @@
         size = PIPELINED_REQUEST_BYTES + len(head) + plain_bytes(body)
         added, request.charged_bytes = size - request.charged_bytes, size
         self._server.memory.charge(added)
+        if self._server.memory.is_exhausted and self._undelivered_bytes > MAX_SMALL_BYTES:
+            self.disconnect("memory")
 
     @property
     def dispensable_bytes(self) -> int:
--- a/src/marjoramvalve/h1/upstreams.py
+++ b/src/marjoramvalve/h1/upstreams.py
@@ -339,6 +339,9 @@
             self._pool.count_buffered_bytes(len(part))
             if type(self._body) is ChargedBuffer:
                 self._body.charge()
+                is_large = self.buffered_bytes > MAX_SMALL_BYTES
+                if is_large and self._pool.memory.is_exhausted:
+                    self.give_up("memory")
 
     def on_message_complete(self) -> None:
         """Completes a response, unless it is interim or belongs to another request."""
--- a/src/marjoramvalve/links/memory_budgets.py
+++ b/src/marjoramvalve/links/memory_budgets.py
@@ -16,6 +16,7 @@
 UNCOUNTED_BYTES = 2 << 10  # Messages up to this size are bounded by their number.
 STALLED_S = 1.0
 # Nobody is asked again for this long once too few could give way: asking all takes milliseconds.
+# Whoever begins to hold more than a little meanwhile gives way at once (`is_exhausted`).
 RELIEF_PAUSE_S = 0.05
 FREED_S = 0.1  # What was given up is in memory for at most this long, in its write buffer.
 RELIEF_SHARE = 1 / 8  # Freed below the limit, so that relief is not needed for every piece.
@@ -121,6 +122,15 @@
         """Returns whether at least half of the budget is free."""
         return self.limit_bytes is None or 2 * self.used_bytes <= self.limit_bytes
 
+    @property
+    def is_exhausted(self) -> bool:
+        """Returns whether more is held than is allowed, and too few could give way."""
+        return (
+            self.limit_bytes is not None
+            and self._excess(0) > 0
+            and self._clock() < self._paused_until
+        )
+
     def can_fit(self, size: int) -> bool:
         """Returns whether a message of this size fits while nothing else is held."""
         return self.limit_bytes is None or allocated_bytes(size) <= self.limit_bytes
--- a/tests/test_memory_charges.py
+++ b/tests/test_memory_charges.py
@@ -3,10 +3,12 @@
 import asyncio
 import unittest
 
+from marjoramvalve.h1 import CallerServer, HeaderNames
 from marjoramvalve.links import ChargedBuffer, Holding, MemoryBudget, allocated_bytes
 from marjoramvalve.links.memory_budgets import RELIEF_PAUSE_S
 from marjoramvalve.mesh.sessions import SWEEP_INTERVAL_S
 from tests.meshes import FakeUpstream, make_document, ok_response
+from tests.test_endless import RecordingTransport
 from tests.test_mesh import MeshTestCase
 
 MIB = 1 << 20
@@ -79,6 +81,30 @@
         self.assertEqual(given_up, ["a", "b"])
 
 
+class ExhaustedBudgetTests(unittest.TestCase):
+    """Requests that arrive while what runs fills the budget."""
+
+    def test_large_request_is_refused_at_once_and_small_ones_pass(self):
+        async def run():
+            memory = MemoryBudget(lambda: 10.0, memory_mb=100)
+            memory.charge(41 * MIB)
+            requests, transports = [], []
+            server = CallerServer(HeaderNames(), requests.append, lambda *args: None, memory)
+            for size in (12_000, 40_000, 12_000, 8 * MIB):
+                conn = server.make_connection()
+                transports.append(RecordingTransport())
+                conn.connection_made(transports[-1])
+                head = b"PUT / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % size
+                conn.data_received(head)
+                for offset in range(0, size, 4000):
+                    conn.data_received(bytes(min(4000, size - offset)))
+            statuses = [transport.written[9:12] for transport in transports]
+            return [len(request.body) for request in requests], statuses
+
+        sizes, statuses = asyncio.run(run())
+        self.assertEqual((sizes, statuses), ([12_000] * 2, [b"", b"503"] * 2))
+
+
 class HastyUpstream(FakeUpstream):
     """An upstream that answers long requests before it reads them, and reads nothing further."""
 
