Close silent streams that have not been connected yet

Cause: streams that are accepted in one iteration of the loop are told of their connection after it, and closing one before that did nothing, so that it stayed for 5 s. Half of the connections of the main server was too much beside it and the other servers.

Change: a stream that was closed before its connection was made closes then, and a quarter of those connections may be silent. The test closes its connections to the callers' port first, which count against the same bound.

--- a/src/marjoramvalve/links/frames.py
+++ b/src/marjoramvalve/links/frames.py
@@ -33,7 +33,7 @@
 BACKLOG = 512  # All instances of a fleet may reconnect at the same time.
 # Streams that were accepted and have not sent a frame yet. The other end sends one at once.
 MAX_STRANGERS = BACKLOG
-STRANGER_SHARE = 0.5  # Of the connections that the main server of the process may have open.
+STRANGER_SHARE = 0.25  # Of the connections that the main server of the process may have open.
 FIRST_FRAME_S = 5.0
 
 
@@ -94,6 +94,7 @@
         self._is_dropping = False
         self._charged_bytes = 0  # Of frames that are arriving and not large.
         self.is_stranger = True  # Is open, and has not received a frame yet.
+        self._is_aborted = False
         self.last_received_at = loop.time()
         self.owner_data: object = None  # For use by the owner; not read here.
 
@@ -105,6 +106,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Notifies the owner."""
         self._transport = transport
+        if self._is_aborted:
+            transport.abort()
         if self._memory is not None:
             self._memory.sources.append(self._holdings)
         self._owner.stream_opened(self)
@@ -275,6 +278,7 @@
 
     def abort(self) -> None:
         """Closes the connection at once, without sending or reading more data."""
+        self._is_aborted = True
         if self._transport is not None:
             self._transport.abort()
 
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -385,8 +385,9 @@
 
     def test_silent_connections_to_the_port_for_links(self):
         async def send(reader, writer, number):
-            _, other = await self._connect(EGRESS, NODE_LINK_PORT)
             writer.transport.abort()
+            await asyncio.sleep(1)
+            _, other = await self._connect(EGRESS, NODE_LINK_PORT)
             await asyncio.sleep(2)  # They stay open that long, whatever becomes of them.
             other.transport.abort()
 
