Take the short way for small responses and frames

With nothing unsent, a small message is written as before; what is small and alone on its connection isn't charged.

--- a/src/marjoramvalve/h1/callers.py
+++ b/src/marjoramvalve/h1/callers.py
@@ -171,7 +171,7 @@
         if self._closing:
             return
         self.last_active_at = self._loop.time()
-        if self._is_blocked or self._is_deferred or self._held:
+        if self._is_blocked or self._is_deferred or self._held.size:
             self._hold(data)
         else:
             self._parse_slices(self.last_active_at, data)
@@ -211,7 +211,9 @@
                 self._count_received_bytes(len(data))
             if self._request is not None:
                 self._charge_partial()
-        self._is_blocked = self._is_write_blocked or len(self._pending) >= self._max_pipelined
+        self._is_blocked = self._is_write_blocked or (
+            bool(self._pending) and len(self._pending) >= self._max_pipelined
+        )
 
     # Back-pressure
 
@@ -562,7 +564,9 @@
             self._fail(400, b"request has no Host header")
             return
         self._pending.append(request)
-        self._charge_request(request)
+        is_small = len(request.body) + len(request.head) <= UNCOUNTED_BYTES
+        if self._charged_partial_bytes or len(self._pending) > 1 or not is_small:
+            self._charge_request(request)
         self._handle(request)
         self._closing = self._closing or request.should_close or request is self._last_request
 
@@ -610,27 +614,28 @@
         if not is_large and len(out) > 1:
             out = [b"".join(out)]
         limit = 0 if self.unsent_bytes else MAX_SMALL_BYTES
-        hold = self._server.memory.hold
-        out = [hold(item) if len(item) > limit else item for item in out]
-        if self._transport.is_closing():
-            return  # It was given up to make room.
-        if len(out) == 1:
+        if len(out) == 1 and len(out[0]) <= limit:
             self._transport.write(out[0])
         else:
+            hold = self._server.memory.hold
+            out = [hold(item) if len(item) > limit else item for item in out]
+            if self._transport.is_closing():
+                return  # It was given up to make room.
             self._transport.writelines(out)
-        self._limit_sending(self.last_active_at)
+        unsent_bytes = self.unsent_bytes
+        if unsent_bytes:
+            self._limit_sending(unsent_bytes)
         self._check_room()
         if closes:
             self._closing = True
             self._notify_disconnected()
             self._linger()
 
-    def _limit_sending(self, now: float) -> None:
-        """Sets until when the caller must have taken what it has been sent."""
-        unsent_bytes = self.unsent_bytes
-        if unsent_bytes:
-            self._last_unsent_bytes, self._sent_at = unsent_bytes, now
-            self._send_until = now + SEND_TIMEOUT_S + unsent_bytes / MIN_SEND_BYTES_PER_S
+    def _limit_sending(self, unsent_bytes: int) -> None:
+        """Sets until when the caller must have taken what it has just been sent."""
+        self._last_unsent_bytes, self._sent_at = unsent_bytes, self.last_active_at
+        send_s = SEND_TIMEOUT_S + unsent_bytes / MIN_SEND_BYTES_PER_S
+        self._send_until = self.last_active_at + send_s
 
     def _linger(self) -> None:
         """Ends the responses, and closes once the caller has closed too or after a timeout.
--- a/src/marjoramvalve/links/frames.py
+++ b/src/marjoramvalve/links/frames.py
@@ -136,7 +136,8 @@
             if not data or not self.is_open:
                 return
         self._receive(data)
-        self._charge_buffered()
+        if self._buffered_bytes > MAX_SMALL_BYTES or self._charged_bytes:
+            self._charge_buffered()
 
     def _charge_buffered(self) -> None:
         size = self._buffered_bytes if self._buffered_bytes > MAX_SMALL_BYTES else 0
@@ -238,20 +239,19 @@
         outgoing, self._outgoing = self._outgoing, []
         if self._transport is None or not outgoing:
             return
-        unsent_bytes = self.unsent_bytes
+        unsent_bytes = self._transport.get_write_buffer_size()
         if unsent_bytes > MAX_UNSENT_BYTES:
             self.abort()  # One large frame may exceed the limit, but not what comes behind it.
             return
         if len(outgoing) > 1 and sum(map(len, outgoing)) < LARGE_FRAME_BYTES:
             outgoing = [b"".join(outgoing)]
+        limit = 0 if unsent_bytes else MAX_SMALL_BYTES
+        if len(outgoing) == 1 and len(outgoing[0]) <= limit:
+            self._transport.write(outgoing[0])
+            return
         if self._memory is not None:
-            limit = 0 if unsent_bytes else MAX_SMALL_BYTES
             outgoing = [self._memory.hold(item) if len(item) > limit else item for item in outgoing]
-        if not self.is_open:
-            return  # It was given up to make room.
-        if len(outgoing) == 1:
-            self._transport.write(outgoing[0])
-        else:
+        if self.is_open:  # It may have been given up to make room.
             self._transport.writelines(outgoing)
 
     @property
