Count only the objects of the test itself

In the whole run, tests.test_freed_calls found 666 calls that other tests of the process still refer to; all 11 of its tests failed, alone none did. What exists before a test is kept and left out, so that only objects of its own count, each by its identity: as strict as before.

--- a/tests/test_freed_calls.py
+++ b/tests/test_freed_calls.py
@@ -16,10 +16,9 @@
 TYPES = (Call, CallerConnection, Exchange, IncomingRequest, Job, UpstreamConnection)
 
 
-def count_objects():
-    """Returns how many objects of calls exist, those that only the collector can free included."""
-    names = [type(item).__name__ for item in gc.get_objects() if isinstance(item, TYPES)]
-    return {name: names.count(name) for name in set(names)}
+def list_objects():
+    """Returns the objects of calls that exist, those that only the collector can free included."""
+    return [item for item in gc.get_objects() if isinstance(item, TYPES)]
 
 
 class FreedCallTests(MeshTestCase):
@@ -28,9 +27,16 @@
     def setUp(self):
         super().setUp()
         gc.collect()
+        self.others = list_objects()  # Other tests of the process may still refer to theirs.
         gc.disable()
         self.addCleanup(gc.enable)
 
+    def count_objects(self):
+        """Returns how many objects of the calls of this test exist, by type."""
+        others = {id(item) for item in self.others}
+        names = [type(item).__name__ for item in list_objects() if id(item) not in others]
+        return {name: names.count(name) for name in set(names)}
+
     def check_freed(self, respond, send, slots=4):
         """Lets `send` use a caller, closes it, and checks that nothing of its calls is left."""
         doc = make_document(
@@ -45,7 +51,7 @@
             for node in self.bench.nodes:
                 node.ingress.pool.close()
             await asyncio.sleep(0.3)  # The ingress waits a little longer than the egress.
-            objects = count_objects()
+            objects = self.count_objects()
             await asyncio.sleep(SWEEP_INTERVAL_S + 0.2)  # Until outcomes are acknowledged.
             return objects, [node.memory.used_bytes for node in self.bench.nodes]
 
